rpc, agent: sessions that carry many requests over one drpc stream

Cause: drpc serves one stream per connection at a time, so a connection for each open answer would cost a TLS connection per request. Change: one session per entry and agent, messages grouped into frames, heartbeats, a silence watchdog, bounded mailboxes, a verdict for each open request when a session ends; the agent forwards generations and plain calls, reports load and drains. Ruled out: drpc connection pools per request.

--- /dev/null
+++ b/internal/agent/generate.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// errSessionLost ends a generation whose tokens no longer reach the entry.
+var errSessionLost = errors.New("session to the entry is lost")
+
+func (a *Agent) generate(ctx context.Context, id string, g *wire.GenerateRequest, r *rpc.Responder) {
+	if a.opts.Engine == nil {
+		r.Fail(verdict.New(verdict.NotRun, 503, "not_an_engine", "the endpoint is no model engine"))
+		return
+	}
+	a.stats.Generations.Add(1)
+	finish, err := a.opts.Engine.Generate(ctx, generation(id, g), func(t platform.Token) error {
+		a.stats.Tokens.Add(1)
+		return sendToken(r, t)
+	})
+	if ctx.Err() != nil {
+		a.cancelAtEngine(ctx, id)
+	}
+	if err != nil {
+		a.fail(r, err)
+		return
+	}
+	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Finished{Finished: &wire.Finished{
+		Reason:       finish.Reason,
+		PromptTokens: int32(finish.PromptTokens),
+		OutputTokens: int32(finish.OutputTokens),
+		CachedTokens: int32(finish.CachedTokens),
+	}}})
+}
+
+func sendToken(r *rpc.Responder, t platform.Token) error {
+	sent := r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{
+		First: int32(t.Index),
+		Texts: []string{t.Text},
+	}}})
+	if !sent {
+		return errSessionLost
+	}
+	return nil
+}
+
+// cancelAtEngine stops a generation whose caller is gone. Closing the
+// connection to the engine may be noticed late, so the engine is told.
+func (a *Agent) cancelAtEngine(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.opts.StaleLoad)
+	defer cancel()
+	_ = a.opts.Engine.Cancel(ctx, id)
+}
+
+func generation(id string, g *wire.GenerateRequest) platform.Generation {
+	return platform.Generation{
+		ID:          id,
+		Model:       g.Model,
+		Adapter:     g.Adapter,
+		Priority:    int(g.Priority),
+		Prompt:      g.Prompt,
+		MaxTokens:   int(g.MaxTokens),
+		Resume:      int(g.Resume),
+		KVHandle:    g.KvHandle,
+		PrefillOnly: g.PrefillOnly,
+	}
+}
--- /dev/null
+++ b/internal/agent/handle.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// Handle answers one request of a session.
+func (a *Agent) Handle(ctx context.Context, m *wire.EntryMessage, r *rpc.Responder) {
+	if refusal := a.refuse(m); refusal != "" {
+		a.stats.Refused.Add(1)
+		r.Fail(verdict.New(verdict.NotRun, 503, refusal, "the endpoint takes no new work"))
+		return
+	}
+	defer a.end()
+	switch body := m.Body.(type) {
+	case *wire.EntryMessage_Generate:
+		a.generate(ctx, m.RequestId, body.Generate, r)
+	case *wire.EntryMessage_Call:
+		a.call(ctx, m.RequestId, body.Call, r)
+	case *wire.EntryMessage_Export:
+		a.export(ctx, m.RequestId, r)
+	case *wire.EntryMessage_Import:
+		a.importKV(ctx, body.Import, r)
+	default:
+		r.Fail(verdict.New(verdict.NotRun, 501, "unknown_message", "the agent does not know this kind of request"))
+	}
+}
+
+// refuse counts the request in, or returns why it is refused. A drain still
+// lets a KV cache out, since that ends running work sooner.
+func (a *Agent) refuse(m *wire.EntryMessage) string {
+	if m.GetExport() != nil {
+		a.inFlight.Add(1)
+		return ""
+	}
+	return a.begin()
+}
+
+// fail ends a request with the verdict that a platform error stands for.
+func (a *Agent) fail(r *rpc.Responder, err error) {
+	a.stats.Failed.Add(1)
+	r.Fail(endpointError(err))
+}
+
+func endpointError(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_unavailable", "the endpoint cannot be reached")
+	case errors.Is(err, platform.ErrRejected):
+		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_rejected", "the endpoint refused the request")
+	case errors.Is(err, platform.ErrNotFound):
+		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_not_found", "the endpoint does not know what was asked for")
+	default:
+		return verdict.Wrap(err, verdict.MayHaveRun, 502, "endpoint_lost", "the answer of the endpoint was lost")
+	}
+}
--- /dev/null
+++ b/internal/agent/stats.go
@@ -0,0 +1,15 @@
+package agent
+
+import "sync/atomic"
+
+// Stats counts an agent's requests.
+type Stats struct {
+	// Generations and Calls count requests given to the endpoint.
+	Generations, Calls atomic.Int64
+	// Refused counts requests refused without being run.
+	Refused atomic.Int64
+	// Failed counts requests that the endpoint did not finish.
+	Failed atomic.Int64
+	// Tokens counts tokens streamed from the engine.
+	Tokens atomic.Int64
+}
--- /dev/null
+++ b/internal/rpc/serving.go
@@ -0,0 +1,179 @@
+package rpc
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// SessionHandler does an agent's work for one session.
+type SessionHandler interface {
+	// Handle answers one request by r; it returns only after it sent the
+	// message that ends the answer. ctx ends when the entry cancels the
+	// request or the session is over.
+	Handle(ctx context.Context, m *wire.EntryMessage, r *Responder)
+	// State returns the state to send with the next heartbeat.
+	State() *wire.AgentState
+	// Changed returns a channel that is closed when State should be sent at once.
+	Changed() <-chan struct{}
+}
+
+// Responder sends the answer to one request.
+type Responder struct {
+	out       *outbox[*wire.AgentMessage]
+	stream    uint64
+	requestID string
+}
+
+// Send queues a message of the answer; stream and request id are filled in.
+// False means that the session is over or too much waits.
+func (r *Responder) Send(m *wire.AgentMessage) bool {
+	m.Stream = r.stream
+	m.RequestId = r.requestID
+	return r.out.put(m, nil)
+}
+
+// Fail ends the answer with an error.
+func (r *Responder) Fail(err error) {
+	e := verdict.As(err)
+	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Failed{Failed: &wire.Failed{
+		Verdict:      uint32(e.Verdict),
+		Code:         e.Code,
+		Message:      e.Message,
+		RetryAfterUs: e.RetryAfter.Microseconds(),
+	}}})
+}
+
+// Failure returns the error that a Failed message stands for.
+func Failure(f *wire.Failed) *verdict.Error {
+	status := 502
+	v := verdict.Verdict(f.Verdict)
+	if v == verdict.NotRun {
+		status = 503
+	}
+	return &verdict.Error{
+		Verdict:    v,
+		Status:     status,
+		Code:       f.Code,
+		Message:    f.Message,
+		RetryAfter: time.Duration(f.RetryAfterUs) * time.Microsecond,
+	}
+}
+
+// serving is the agent's side of one session.
+type serving struct {
+	stream  wire.DRPCAgent_SessionStream
+	handler SessionHandler
+	opts    Options
+	out     *outbox[*wire.AgentMessage]
+	work    sync.WaitGroup
+
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+// ServeSession serves one session until it ends. It returns only after all
+// of its requests are over.
+func ServeSession(stream wire.DRPCAgent_SessionStream, handler SessionHandler, opts Options) error {
+	opts = opts.withDefaults()
+	s := &serving{
+		stream:  stream,
+		handler: handler,
+		opts:    opts,
+		out:     newOutbox[*wire.AgentMessage](opts.OutboxBytes),
+		cancels: make(map[uint64]context.CancelFunc),
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer s.work.Wait()
+	defer s.out.close()
+	defer cancel()
+	s.work.Go(func() { s.send(ctx) })
+	return s.receive(ctx)
+}
+
+func (s *serving) receive(ctx context.Context) error {
+	watchdog := time.AfterFunc(s.opts.Silence, func() { closeConn(s.stream.Context()) })
+	defer watchdog.Stop()
+	for {
+		frame, err := s.stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		watchdog.Reset(s.opts.Silence)
+		for _, m := range frame.Messages {
+			s.dispatch(ctx, m)
+		}
+	}
+}
+
+func (s *serving) dispatch(ctx context.Context, m *wire.EntryMessage) {
+	if m.GetCancel() != nil {
+		s.cancel(m.Stream)
+		return
+	}
+	r := &Responder{out: s.out, stream: m.Stream, requestID: m.RequestId}
+	ctx, ok := s.begin(ctx, m.Stream)
+	if !ok {
+		r.Fail(verdict.New(verdict.NotRun, 503, "agent_full", "too many open requests on this session"))
+		return
+	}
+	s.work.Go(func() {
+		defer s.cancel(m.Stream)
+		s.handler.Handle(ctx, m, r)
+	})
+}
+
+func (s *serving) begin(ctx context.Context, stream uint64) (context.Context, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.cancels) >= s.opts.MaxStreams {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s.cancels[stream] = cancel
+	return ctx, true
+}
+
+func (s *serving) cancel(stream uint64) {
+	s.mu.Lock()
+	cancel := s.cancels[stream]
+	delete(s.cancels, stream)
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (s *serving) send(ctx context.Context) {
+	ticker := time.NewTicker(s.opts.Heartbeat)
+	defer ticker.Stop()
+	due := true
+	for {
+		changed := s.handler.Changed()
+		frame := &wire.AgentFrame{Messages: s.out.take(frameBytes)}
+		if due {
+			frame.State = s.handler.State()
+		}
+		if due || len(frame.Messages) > 0 {
+			if err := s.stream.Send(frame); err != nil {
+				closeConn(s.stream.Context())
+				return
+			}
+		}
+		due = false
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.out.wake:
+		case <-changed:
+			due = true
+		case <-ticker.C:
+			due = true
+		}
+	}
+}
