kv: in-memory stand-in of the platform's key-value store

The packages for leases, configuration and usage need a store to test against before any wire format exists. kv.Store implements platform.Store directly: compare-and-swap, leases on package time (so synctest drives them), long-poll watches with compaction, calls counted by key prefix and operation, optional rates. Faults (down, silent, delay, lost answers) apply to all clients or to one named client. Ruled out: an embedded etcd, which would not run on virtual time.

--- /dev/null
+++ b/internal/standin/kv/watch.go
@@ -0,0 +1,72 @@
+package kv
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// Watch implements platform.Store. It is one call, however long it waits.
+func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+	delay, err := c.begin(ctx, OpWatch, prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := pause(ctx, OpWatch, delay/2); err != nil {
+		return nil, 0, err
+	}
+	events, revision, err := c.waitEvents(ctx, prefix, after, wait)
+	if lost := c.finish(ctx, OpWatch, delay-delay/2); lost != nil {
+		return nil, 0, lost
+	}
+	return events, revision, err
+}
+
+func (c *Client) waitEvents(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+	w := newWatcher(prefix)
+	c.store.addWatcher(w)
+	defer c.store.removeWatcher(w)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := wait <= 0; ; {
+		own, all := c.state(), c.shared.state()
+		if own.down || all.down || own.silent || all.silent {
+			return nil, 0, errors.Wrap(platform.ErrUnavailable, "store went away during the watch")
+		}
+		events, revision, err := c.store.poll(prefix, after)
+		if err != nil || len(events) > 0 || over {
+			return events, revision, err
+		}
+		select {
+		case <-w.ready:
+		case <-own.changed:
+		case <-all.changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, 0, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+}
+
+func (s *Store) poll(prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eventsAfter(prefix, after)
+}
+
+func (s *Store) addWatcher(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers[w] = struct{}{}
+	s.counts.Waiting++
+}
+
+func (s *Store) removeWatcher(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watchers, w)
+	s.counts.Waiting--
+}
