route: pick endpoints by predicted cost

Cause: entry hosts need one endpoint per request out of up to 5,700 whose reports lag. Change: internal/route with a Picker that predicts the time to the first token at a sample of 16 and at endpoints that probably hold the prefix, three baselines behind the same interface, a Router that counts own work, and a deterministic subset per host. Ruled out: scanning all candidates (cost grows with the fleet), aperture subsets (a host's failure shifts all others).

--- /dev/null
+++ b/internal/route/candidate.go
@@ -0,0 +1,85 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+)
+
+// Candidate is one endpoint as an entry host knows it.
+type Candidate struct {
+	Name   string
+	Domain string
+	Role   platform.Role
+	// Ready is false while the endpoint loads or changes its role.
+	Ready bool
+	// Draining endpoints take no new work.
+	Draining bool
+	Models   []string
+	// Adapters are "model/adapter".
+	Adapters []string
+	// Own is the work that this entry host has at the endpoint now.
+	Own Work
+	// Report is the endpoint's last load report.
+	Report Report
+}
+
+// Work is an amount of work at an endpoint.
+type Work struct {
+	// Requests counts requests in flight.
+	Requests int
+	// PromptTokens is prompt work that is not yet prefilled, in tokens.
+	PromptTokens int64
+	// Pieces is engine memory, in pieces of platform.PieceTokens tokens.
+	Pieces int64
+}
+
+// Report is an endpoint's load at a moment in the past.
+type Report struct {
+	// At is when the engine measured it, by the reader's clock. A zero time
+	// means that there was no report yet.
+	At      time.Time
+	Running int
+	Waiting int
+	// WaitingPromptTokens is prompt work not yet prefilled, in tokens.
+	WaitingPromptTokens int64
+	FreePieces          int
+	TotalPieces         int
+	// Own is the reader's own work at the endpoint when the report arrived,
+	// so that it is not counted twice.
+	Own Work
+}
+
+// others is the reported work that is not the reader's own.
+func (r *Report) others() Work {
+	return Work{
+		Requests:     max(0, r.Running+r.Waiting-r.Own.Requests),
+		PromptTokens: max(0, r.WaitingPromptTokens-r.Own.PromptTokens),
+	}
+}
+
+// hasAdapter says whether the endpoint has the adapter, if the request names one.
+func (c *Candidate) hasAdapter(r *Request) bool {
+	if r.Adapter == "" {
+		return true
+	}
+	return slices.Contains(c.Adapters, r.Model+"/"+r.Adapter)
+}
+
+// eligible says whether the endpoint may take the request at all.
+func (c *Candidate) eligible(r *Request) bool {
+	if !c.Ready || c.Draining {
+		return false
+	}
+	if _, tried := r.Exclude[c.Name]; tried {
+		return false
+	}
+	if r.Phase == PhasePrefill && c.Role == platform.RoleDecode {
+		return false
+	}
+	if r.Phase == PhaseDecode && c.Role == platform.RolePrefill {
+		return false
+	}
+	return c.hasAdapter(r)
+}
--- /dev/null
+++ b/internal/route/router_test.go
@@ -0,0 +1,261 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+func newTestPicker() *Picker { return NewPicker(rand.New(rand.NewPCG(1, 2))) }
+
+func testState(name string) *wire.AgentState {
+	return &wire.AgentState{
+		Endpoint: name, Domain: "north", Incarnation: "1", Ready: true, Role: "mixed",
+		Models: []string{"m"}, FreePieces: 100, TotalPieces: 100,
+	}
+}
+
+func testRequest() *Request {
+	return &Request{Model: "m", PromptTokens: 1000, MaxTokens: 100, Priority: 1, Domain: "north"}
+}
+
+func TestRouterSpreadsOwnWorkBetweenReports(t *testing.T) {
+	is := is.New(t)
+	r := NewRouter(newTestPicker())
+	now := time.Unix(1000, 0)
+	for i := range 4 {
+		r.Observe(now, testState(fmt.Sprint("e", i)))
+	}
+	count := make(map[string]int)
+	var flights []*Flight
+	for range 40 {
+		f, err := r.Pick(now, testRequest())
+		is.NoErr(err)
+		count[f.Endpoint]++
+		flights = append(flights, f)
+	}
+	for _, n := range count {
+		is.Equal(n, 10)
+	}
+	for _, f := range flights {
+		f.Prefilled()
+		f.Done(-1)
+		f.Done(-1)
+	}
+	for _, c := range r.Candidates() {
+		is.Equal(c.Own, Work{})
+	}
+}
+
+func TestRouterOwnWorkSurvivesModelChangeAndNotRemoval(t *testing.T) {
+	is := is.New(t)
+	r := NewRouter(newTestPicker())
+	now := time.Unix(1000, 0)
+	r.Observe(now, testState("a"))
+	f, err := r.Pick(now, testRequest())
+	is.NoErr(err)
+	st := testState("a")
+	st.Models = []string{"m", "n"}
+	r.Observe(now, st)
+	is.Equal(r.Candidates()[0].Own.Requests, 1)
+	r.Remove("a")
+	r.Observe(now, st)
+	f.Done(0)
+	is.Equal(r.Candidates()[0].Own, Work{})
+}
+
+func TestPickRefusesWithNotRun(t *testing.T) {
+	policies := map[string]Policy{
+		"picker": newTestPicker(), "round robin": &RoundRobin{}, "least": LeastReported{},
+		"two choices": &TwoChoices{Rand: rand.New(rand.NewPCG(1, 2))},
+	}
+	for name, p := range policies {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewSet(
+				Candidate{Name: "draining", Ready: true, Draining: true, Models: []string{"m"}},
+				Candidate{Name: "loading", Models: []string{"m"}},
+				Candidate{Name: "other", Ready: true, Models: []string{"n"}},
+				Candidate{Name: "tried", Ready: true, Models: []string{"m"}},
+			)
+			req := testRequest()
+			req.Exclude = map[string]struct{}{"tried": {}}
+			_, err := p.Pick(time.Unix(1, 0), req, s)
+			is.True(err != nil)
+			is.Equal(verdict.Of(err), verdict.NotRun)
+			is.True(verdict.As(err).RetryAfter > 0)
+			req.Exclude = nil
+			d, err := p.Pick(time.Unix(1, 0), req, s)
+			is.NoErr(err)
+			is.Equal(d.Endpoint, "tried")
+		})
+	}
+}
+
+func TestPickFindsTheOneUsableOfMany(t *testing.T) {
+	is := is.New(t)
+	s := NewSet()
+	for i := range 3000 {
+		s.Put(Candidate{Name: fmt.Sprint(i), Draining: i != 1234, Ready: true, Models: []string{"m"}})
+	}
+	for range 50 {
+		d, err := newTestPicker().Pick(time.Unix(1, 0), testRequest(), s)
+		is.NoErr(err)
+		is.Equal(d.Endpoint, "1234")
+	}
+}
+
+func TestWrongPrefixPredictionCostsLittle(t *testing.T) {
+	is := is.New(t)
+	p := newTestPicker()
+	now := time.Unix(1000, 0)
+	prefix := make([]uint64, 40)
+	for i := range prefix {
+		prefix[i] = uint64(i + 1)
+	}
+	p.Affinity.Dispatched(now, "a", prefix)
+	idle := Candidate{Name: "b", Ready: true, Domain: "north", Models: []string{"m"}}
+	busy := Candidate{Name: "a", Ready: true, Domain: "north", Models: []string{"m"}}
+	req := testRequest()
+	req.PromptTokens, req.Prefix = 40000, prefix
+	d, err := p.Pick(now, req, NewSet(idle, busy))
+	is.NoErr(err)
+	is.Equal(d.Endpoint, "a")
+	// More work ahead than the cap is worth outweighs any predicted hit.
+	busy.Own.PromptTokens = int64(p.Costs.MaxPrefixTokens) + 1
+	d, err = p.Pick(now, req, NewSet(idle, busy))
+	is.NoErr(err)
+	is.Equal(d.Endpoint, "b")
+	// Misses lower the trust until a small backlog is enough.
+	for range 40 {
+		p.Affinity.Outcome("a", 8000, 0)
+	}
+	busy.Own.PromptTokens = 200
+	d, err = p.Pick(now, req, NewSet(idle, busy))
+	is.NoErr(err)
+	is.Equal(d.Endpoint, "b")
+}
+
+func TestAffinityEventsGapsAndBound(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := NewAffinity(100)
+	a.Event(now, "a", platform.CacheEvent{Sequence: 1, Prefix: 7})
+	found := a.lookup(now, []uint64{7, 8}, nil)
+	is.Equal(found, []Match{{Endpoint: "a", Tokens: 1000, Trust: trustStart}})
+	a.Event(now, "a", platform.CacheEvent{Sequence: 5, Prefix: 8})
+	found = a.lookup(now, []uint64{7, 8}, nil)
+	is.Equal(found[0].Tokens, 2000)
+	is.True(found[0].Trust < trustStart)
+	a.Event(now, "a", platform.CacheEvent{Sequence: 6, Prefix: 8, Evicted: true})
+	is.Equal(a.lookup(now, []uint64{7, 8}, nil)[0].Tokens, 1000)
+	is.Equal(len(a.lookup(now.Add(affinityLifetime+1), []uint64{7}, nil)), 0)
+	for i := range uint64(10000) {
+		a.Event(now, "b", platform.CacheEvent{Sequence: i, Prefix: i})
+		is.True(a.Len() <= 100)
+	}
+	a.Forget("b")
+	is.Equal(len(a.lookup(now, []uint64{9999}, nil)), 0)
+}
+
+func TestStaleIdleReportDoesNotAttract(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	busy := Report{At: now, Running: 20, WaitingPromptTokens: 4000}
+	light := Report{At: now, Running: 15, WaitingPromptTokens: 2500}
+	idle := Report{At: now.Add(-time.Minute)}
+	s := NewSet(
+		Candidate{Name: "busy", Ready: true, Domain: "north", Models: []string{"m"}, Report: busy},
+		Candidate{Name: "light", Ready: true, Domain: "north", Models: []string{"m"}, Report: busy},
+		Candidate{Name: "stale", Ready: true, Domain: "north", Models: []string{"m"}, Report: idle},
+	)
+	s.Put(Candidate{Name: "light", Ready: true, Domain: "north", Models: []string{"m"}, Report: light})
+	d, err := newTestPicker().Pick(now, testRequest(), s)
+	is.NoErr(err)
+	is.Equal(d.Endpoint, "stale")
+	// A fresh report that is below the mean beats one that says nothing now.
+	light.Running, light.WaitingPromptTokens = 2, 100
+	s.Put(Candidate{Name: "light", Ready: true, Domain: "north", Models: []string{"m"}, Report: light})
+	d, err = newTestPicker().Pick(now, testRequest(), s)
+	is.NoErr(err)
+	is.Equal(d.Endpoint, "light")
+}
+
+func TestSplitPaysOnlyForLongPromptsOnFreeEndpoints(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	models := []string{"m"}
+	s := NewSet(
+		Candidate{Name: "p", Ready: true, Domain: "north", Role: platform.RolePrefill, Models: models},
+		Candidate{Name: "d", Ready: true, Domain: "north", Role: platform.RoleDecode, Models: models},
+		Candidate{Name: "x", Ready: true, Domain: "north", Role: platform.RoleMixed, Models: models, Own: Work{PromptTokens: 9000, Requests: 9}},
+	)
+	req := testRequest()
+	_, ok := newTestPicker().SplitPrefill(now, req, s)
+	is.True(!ok)
+	req.PromptTokens = 5000
+	split, ok := newTestPicker().SplitPrefill(now, req, s)
+	is.True(ok)
+	is.Equal(split.Prefill.Endpoint, "p")
+	is.Equal(split.Decode.Endpoint, "d")
+	s.Get("x").Own = Work{}
+	_, ok = newTestPicker().SplitPrefill(now, req, s)
+	is.True(!ok)
+}
+
+func TestSubsetIsStableAndEven(t *testing.T) {
+	is := is.New(t)
+	targets := fleet(5700)
+	load := make(map[string]int)
+	for h := range 370 {
+		for _, n := range Subset(fmt.Sprint("h", h), fmt.Sprint("d", h%14), targets, DefaultSubsetSize) {
+			load[n]++
+		}
+	}
+	for _, target := range targets {
+		is.True(load[target.Name] > 0) // no endpoint is left without hosts
+	}
+	before := Subset("h1", "d1", targets, DefaultSubsetSize)
+	is.Equal(len(before), 18*16)
+	lost := before[7]
+	kept := make([]Target, 0, len(targets))
+	for _, target := range targets {
+		if target.Name != lost {
+			kept = append(kept, target)
+		}
+	}
+	after := Subset("h1", "d1", kept, DefaultSubsetSize)
+	is.Equal(missing(before, after), 1)
+}
+
+func missing(before, after []string) int {
+	have := make(map[string]bool)
+	for _, n := range after {
+		have[n] = true
+	}
+	count := 0
+	for _, n := range before {
+		if !have[n] {
+			count++
+		}
+	}
+	return count
+}
+
+// fleet spreads n targets over 14 domains and 18 models.
+func fleet(n int) []Target {
+	targets := make([]Target, n)
+	for i := range targets {
+		targets[i] = Target{
+			Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%14), Models: []string{fmt.Sprint("m", (i/14)%18)},
+		}
+	}
+	return targets
+}
