platform: HTTP adapters, one file an interface

Each platform service gets one adapter that alone knows its wire format. net/http repeats a request by itself on a reused connection when it carries Idempotency-Key; removing the header would hide it from the service, so at-most-once calls and orders take a fresh connection each, on which the transport never repeats. No request has GetBody, no redirect is followed. ErrUnavailable means that no connection was obtained (httptrace), all else is ErrUnknown; reads are always without effect. Streams end as unknown on a gap, a repeat, silence of 5 s or a missing last line.

--- /dev/null
+++ b/internal/platform/generate_http_test.go
@@ -0,0 +1,75 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func TestGenerateAcceptsOnlyWholeStreams(t *testing.T) {
+	token := func(i string) string { return `{"token":{"Index":` + i + `,"Text":"a"}}` + "\n" }
+	const finish = `{"finish":{"Reason":"stop","OutputTokens":2}}` + "\n"
+	cases := []struct {
+		name, stream string
+		want         error
+		tokens       int
+	}{
+		{"whole", token("0") + "{}\n" + token("1") + finish, nil, 2},
+		{"no end", token("0"), platform.ErrUnknown, 1},
+		{"half a line", token("0") + `{"finish":{"Rea`, platform.ErrUnknown, 1},
+		{"lost token", token("0") + token("2") + finish, platform.ErrUnknown, 1},
+		{"repeated token", token("0") + token("0") + finish, platform.ErrUnknown, 1},
+		{"not started", `{"error":{"error":"unavailable"}}` + "\n", platform.ErrUnavailable, 0},
+		{"failed later", token("0") + `{"error":{"error":"unavailable"}}` + "\n", platform.ErrUnknown, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(c.stream))
+			}))
+			defer server.Close()
+			got := 0
+			engine := platform.NewHTTPEngine(server.URL, nil)
+			_, err := engine.Generate(t.Context(), platform.Generation{}, func(platform.Token) error {
+				got++
+				return nil
+			})
+			is.Equal(got, c.tokens)
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
+
+func TestSilentStreamEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		defer far.Close()
+		go func() {
+			buffer := make([]byte, 4096)
+			_, _ = far.Read(buffer)
+			head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			line := `{"token":{"Index":0,"Text":"a"}}` + "\n"
+			_, _ = far.Write([]byte(head + "21\r\n" + line + "\r\n"))
+		}()
+		dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
+		client := &http.Client{Transport: &http.Transport{DialContext: dial}}
+		engine := platform.NewHTTPEngine("http://10.0.0.1", client)
+		var text strings.Builder
+		_, err := engine.Generate(t.Context(), platform.Generation{}, func(token platform.Token) error {
+			text.WriteString(token.Text)
+			return nil
+		})
+		is.True(errors.Is(err, platform.ErrUnknown))
+		is.Equal(text.String(), "a")
+	})
+}
--- /dev/null
+++ b/internal/platform/service_http_test.go
@@ -0,0 +1,136 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// closingServer answers the first request of each connection and closes the
+// connection on the second one after it has read it.
+func closingServer(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	var listen net.ListenConfig
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	received := new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveOnce(conn, received)
+		}
+	}()
+	return "http://" + l.Addr().String(), received
+}
+
+func serveOnce(conn net.Conn, received *atomic.Int64) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		received.Add(1)
+		if !first {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+func payment(id string) platform.ServiceRequest {
+	return platform.ServiceRequest{
+		ID: id, Method: http.MethodPost, Path: "/payments",
+		Header: map[string][]string{"Idempotency-Key": {"k"}},
+	}
+}
+
+func TestPlainClientRepeatsWhatCarriesAnIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	base, received := closingServer(t)
+	for range 2 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, base, http.NoBody)
+		is.NoErr(err)
+		req.Header.Set("Idempotency-Key", "k")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+	}
+	is.True(received.Load() > 2) // the hazard that the adapter must avoid
+}
+
+func TestAtMostOnceCallIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	base, received := closingServer(t)
+	service := platform.NewHTTPService(base, nil)
+	const calls = 5
+	for range calls {
+		_, err := service.Call(t.Context(), payment("r"))
+		is.NoErr(err)
+	}
+	is.Equal(received.Load(), int64(calls))
+}
+
+func TestServiceErrorsTellWhetherBytesWereSent(t *testing.T) {
+	is := is.New(t)
+	answers := map[string]func(http.ResponseWriter){
+		"/cut": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		},
+		"/none": func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"/redirect": func(w http.ResponseWriter) {
+			w.Header().Set("Location", "/payments")
+			w.WriteHeader(http.StatusTemporaryRedirect)
+		},
+	}
+	var seen http.Header
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header
+		runs.Add(1)
+		answers[r.URL.Path](w)
+	}))
+	service := platform.NewHTTPService(server.URL, nil)
+	request := payment("r1")
+	request.Header["authorization"] = []string{"Bearer secret"}
+	for _, path := range []string{"/cut", "/none"} {
+		request.Path = path
+		_, err := service.Call(t.Context(), request)
+		is.True(errors.Is(err, platform.ErrUnknown))
+	}
+	request.Path = "/redirect"
+	resp, err := service.Call(t.Context(), request)
+	is.NoErr(err)
+	is.Equal(resp.Status, http.StatusTemporaryRedirect)
+	is.Equal(runs.Load(), int64(3)) // no redirect was followed
+	is.Equal(seen.Get("X-Request-Id"), "r1")
+	for name, values := range seen {
+		is.True(!strings.Contains(strings.Join(values, ""), "secret")) // key withheld
+		is.True(name != "Authorization")
+	}
+	server.Close()
+	_, err = service.Call(t.Context(), request)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	request.Path = "@127.0.0.1/"
+	_, err = service.Call(t.Context(), request)
+	is.True(errors.Is(err, platform.ErrRejected))
+}
--- /dev/null
+++ b/internal/platform/store_http.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// storeTimeout bounds one call of the store; a watch adds its wait.
+const storeTimeout = 5 * time.Second
+
+// HTTPStore is the adapter of Store to HTTP with JSON bodies.
+type HTTPStore struct {
+	caller httpCaller
+}
+
+var _ Store = (*HTTPStore)(nil)
+
+// NewHTTPStore returns an adapter that calls the store at the base URL. A nil
+// client means one with NewTransport.
+func NewHTTPStore(base string, client *http.Client) *HTTPStore {
+	return &HTTPStore{caller: newCaller(base, client)}
+}
+
+func (s *HTTPStore) call(ctx context.Context, timeout time.Duration, op string, in StoreCall) (StoreAnswer, error) {
+	var out StoreAnswer
+	err := s.caller.write(ctx, timeout, "/v1/store/"+op, in, &out)
+	return out, err
+}
+
+func (s *HTTPStore) read(ctx context.Context, timeout time.Duration, op string, in StoreCall) (StoreAnswer, error) {
+	out, err := s.call(ctx, timeout, op, in)
+	return out, withoutEffect(err)
+}
+
+// Get implements Store.
+func (s *HTTPStore) Get(ctx context.Context, key string) (KeyValue, error) {
+	out, err := s.read(ctx, storeTimeout, "get", StoreCall{Key: key})
+	if err != nil {
+		return KeyValue{}, err
+	}
+	if len(out.Items) != 1 || out.Items[0].Key != key {
+		return KeyValue{}, errors.Wrap(ErrUnavailable, "answer to another call")
+	}
+	return out.Items[0], nil
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context, prefix string) ([]KeyValue, Revision, error) {
+	out, err := s.read(ctx, storeTimeout, "list", StoreCall{Key: prefix})
+	return out.Items, out.Revision, err
+}
+
+// CompareAndSwap implements Store.
+func (s *HTTPStore) CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (Revision, error) {
+	out, err := s.call(ctx, storeTimeout, "cas", StoreCall{Key: key, Expect: expect, Value: value, Lease: lease})
+	return out.Revision, err
+}
+
+// Delete implements Store.
+func (s *HTTPStore) Delete(ctx context.Context, key string, expect Revision) error {
+	_, err := s.call(ctx, storeTimeout, "delete", StoreCall{Key: key, Expect: expect})
+	return err
+}
+
+// Watch implements Store by a long poll.
+func (s *HTTPStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error) {
+	out, err := s.read(ctx, storeTimeout+wait, "watch", StoreCall{Key: prefix, After: after, Wait: wait})
+	return out.Events, out.Revision, err
+}
+
+// Grant implements Store.
+func (s *HTTPStore) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	out, err := s.call(ctx, storeTimeout, "grant", StoreCall{TTL: ttl})
+	return out.Lease, err
+}
+
+// KeepAlive implements Store.
+func (s *HTTPStore) KeepAlive(ctx context.Context, id LeaseID) (Lease, error) {
+	out, err := s.call(ctx, storeTimeout, "keepalive", StoreCall{Lease: id})
+	return out.Lease, err
+}
+
+// Revoke implements Store.
+func (s *HTTPStore) Revoke(ctx context.Context, id LeaseID) error {
+	_, err := s.call(ctx, storeTimeout, "revoke", StoreCall{Lease: id})
+	return err
+}
--- /dev/null
+++ b/internal/platform/usage_http.go
@@ -0,0 +1,27 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const usageTimeout = 10 * time.Second
+
+// HTTPUsageSink is the adapter of UsageSink to HTTP with JSON bodies.
+type HTTPUsageSink struct {
+	caller httpCaller
+}
+
+var _ UsageSink = (*HTTPUsageSink)(nil)
+
+// NewHTTPUsageSink returns an adapter that reports to the base URL. A nil
+// client means one with NewTransport.
+func NewHTTPUsageSink(base string, client *http.Client) *HTTPUsageSink {
+	return &HTTPUsageSink{caller: newCaller(base, client)}
+}
+
+// Report implements UsageSink.
+func (u *HTTPUsageSink) Report(ctx context.Context, r UsageReport) error {
+	return u.caller.write(ctx, usageTimeout, "/v1/usage", r, nil)
+}
