--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// Refusals that several handlers share. All are not-run.
+var (
+	errTooManyOpen = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "overloaded", "the host serves as many requests as it may").After(retrySoon)
+	errNoKey       = verdict.New(verdict.NotRun, http.StatusUnauthorized, "no_key", "the request carries no key")
+	errBadKey      = verdict.New(verdict.NotRun, http.StatusUnauthorized, "invalid_key", "the key is unknown or revoked")
+	errKeyInBody   = verdict.New(verdict.NotRun, http.StatusBadRequest, "key_in_request", "the key must only be sent in the Authorization or X-Api-Key header")
+	errBodyTooBig  = verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than allowed")
+	errBodyLost    = verdict.New(verdict.NotRun, http.StatusRequestTimeout, "body_incomplete", "the body did not arrive in time")
+)
+
+// ErrorBody is the JSON body of a failed request.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what went wrong.
+type ErrorDetail struct {
+	Message   string `json:"message"`
+	Type      string `json:"type"`
+	Code      string `json:"code"`
+	Verdict   string `json:"verdict"`
+	RequestID string `json:"request_id"`
+}
+
+func errorBody(r *http.Request, e *verdict.Error) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Message:   e.Message,
+		Type:      errorType(e.Status),
+		Code:      e.Code,
+		Verdict:   e.Verdict.String(),
+		RequestID: requestID(r),
+	}}
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// fail answers with an error, unless the answer has begun.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	e := verdict.As(err)
+	s.count(e)
+	s.logFailure(r, e)
+	h := w.Header()
+	h.Set(verdict.Header, e.Verdict.String())
+	h.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(errorBody(r, e))
+}
+
+func (s *Server) count(e *verdict.Error) {
+	switch e.Verdict {
+	case verdict.NotRun:
+		s.stats.Refused.Add(1)
+	case verdict.MayHaveRun:
+		s.stats.Unknown.Add(1)
+	case verdict.Ran:
+	}
+}
+
+func (s *Server) logFailure(r *http.Request, e *verdict.Error) {
+	if s.opts.Log == nil {
+		return
+	}
+	s.opts.Log.InfoContext(r.Context(), "request failed",
+		"request_id", requestID(r),
+		"path", r.URL.Path,
+		"status", e.Status,
+		"code", e.Code,
+		"verdict", e.Verdict.String(),
+		"cause", causeText(e),
+	)
+}
+
+func causeText(e *verdict.Error) string {
+	if e.Cause == nil {
+		return ""
+	}
+	return e.Cause.Error()
+}
+
+// retrySoon is how long a caller should wait after a refusal that is likely
+// to pass at once.
+const retrySoon = time.Second
--- /dev/null
+++ b/internal/entry/generation.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/queue"
+	"github.com/acacialink/acacialink/internal/route"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// generation is one answer of a model, over as many endpoints as it takes.
+type generation struct {
+	server *Server
+	id     string
+	caller Caller
+	class  queue.Class
+	ticket *queue.Ticket
+
+	model, adapter string
+	prompt         string
+	prefix         []uint64
+	promptTokens   int
+	maxTokens      int
+
+	sink sink
+	// exclude holds the endpoints that failed.
+	exclude map[string]struct{}
+	// delivered counts tokens given to the sink.
+	delivered int
+	cached    int
+	finished  *wire.Finished
+	// mayHaveRun is set once an endpoint may have worked on the request.
+	mayHaveRun bool
+}
+
+// errCallerGone ends a generation whose caller left or reads no more.
+var errCallerGone = errors.New("caller is gone")
+
+// The pause before endpoints that failed are tried again by an answer that has
+// begun, and how long that goes on.
+const (
+	resumePause = 100 * time.Millisecond
+	resumeFor   = 10 * time.Second
+)
+
+func (g *generation) ran() bool { return g.finished != nil || g.mayHaveRun }
+
+// used is the number of tokens that count against the workspace's rate.
+func (g *generation) used() int64 {
+	if !g.ran() {
+		return 0
+	}
+	return int64(g.promptTokens + g.delivered)
+}
+
+// run generates until the answer is complete. A generation may be repeated
+// freely: an endpoint goes on from the tokens that the caller already has.
+func (g *generation) run(ctx context.Context) error {
+	g.server.retry.earn()
+	var last error
+	var resumeUntil time.Time
+	for attempt := 1; ; attempt++ {
+		flight, err := g.server.opts.Router.Pick(time.Now(), g.routeRequest())
+		if err == nil {
+			err = g.attempt(ctx, flight)
+		}
+		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
+			return err
+		}
+		last = firstOf(last, err)
+		if g.delivered > 0 {
+			if resumeUntil.IsZero() {
+				resumeUntil = time.Now().Add(resumeFor)
+			}
+			if !g.mayResume(ctx, err, resumeUntil) {
+				return g.failure(last)
+			}
+			continue
+		}
+		if attempt >= g.server.opts.Attempts || isNoEndpoint(err) || !g.server.retry.spend() {
+			return g.failure(last)
+		}
+		g.server.stats.Retries.Add(1)
+	}
+}
+
+// mayResume says whether an answer that has begun goes on elsewhere. When
+// every endpoint has failed, it tries them all again after a pause.
+func (g *generation) mayResume(ctx context.Context, err error, until time.Time) bool {
+	if time.Now().After(until) {
+		return false
+	}
+	if !isNoEndpoint(err) {
+		g.server.stats.Resumed.Add(1)
+		return true
+	}
+	clear(g.exclude)
+	timer := time.NewTimer(resumePause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// firstOf keeps the error that says most: the first that is not a mere lack
+// of endpoints.
+func firstOf(last, err error) error {
+	if last == nil || isNoEndpoint(last) {
+		return err
+	}
+	return last
+}
+
+func isNoEndpoint(err error) bool { return verdict.As(err).Code == "no_endpoint" }
+
+// failure is what the caller is told: not-run only if that holds for every attempt.
+func (g *generation) failure(err error) error {
+	e := *verdict.As(err)
+	if g.mayHaveRun && e.Verdict == verdict.NotRun {
+		e.Verdict = verdict.MayHaveRun
+		e.Status = http.StatusBadGateway
+	}
+	return &e
+}
+
+// attempt runs the generation at one endpoint.
+func (g *generation) attempt(ctx context.Context, flight *route.Flight) error {
+	cached := -1
+	defer func() { flight.Done(cached) }()
+	g.exclude[flight.Endpoint] = struct{}{}
+	session := g.server.opts.Sessions.Session(flight.Endpoint)
+	if session == nil {
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "session_closed", "the connection to the endpoint's agent is closed")
+	}
+	call, err := session.Open(g.id, g.request())
+	if err != nil {
+		return err
+	}
+	defer call.Cancel()
+	err = g.stream(ctx, call, flight)
+	if err == nil {
+		cached = int(g.finished.CachedTokens)
+		g.cached = cached
+		delete(g.exclude, flight.Endpoint)
+	}
+	if verdict.Of(err) != verdict.NotRun {
+		g.mayHaveRun = true
+	}
+	return err
+}
+
+func (g *generation) request() *wire.EntryMessage {
+	return &wire.EntryMessage{Body: &wire.EntryMessage_Generate{Generate: &wire.GenerateRequest{
+		Model:     g.model,
+		Adapter:   g.adapter,
+		Priority:  int32(enginePriority(g.class)),
+		Prompt:    g.prompt,
+		MaxTokens: int32(g.maxTokens),
+		Resume:    int32(g.delivered),
+		Workspace: g.caller.Workspace,
+	}}}
+}
+
+// stream gives the endpoint's tokens to the sink until the answer ends.
+func (g *generation) stream(ctx context.Context, call *rpc.Call, flight *route.Flight) error {
+	wait := g.server.opts.Timeouts.FirstToken
+	for {
+		m, err := nextWithin(ctx, call, wait)
+		if err != nil {
+			return err
+		}
+		if failed := m.GetFailed(); failed != nil {
+			return rpc.Failure(failed)
+		}
+		if finished := m.GetFinished(); finished != nil {
+			return g.end(finished)
+		}
+		flight.Prefilled()
+		g.ticket.Prefilled()
+		if err := g.deliver(m.GetTokens()); err != nil {
+			return err
+		}
+		wait = g.server.opts.Timeouts.BetweenTokens
+	}
+}
+
+// nextWithin waits for the next message for at most the given time.
+func nextWithin(ctx context.Context, call *rpc.Call, wait time.Duration) (*wire.AgentMessage, error) {
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	m, err := call.Next(waitCtx)
+	if err == nil {
+		return m, nil
+	}
+	if ctx.Err() != nil {
+		return nil, errCallerGone
+	}
+	if waitCtx.Err() != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, http.StatusGatewayTimeout, "endpoint_silent", "the endpoint sent nothing in time")
+	}
+	return nil, err
+}
+
+// deliver gives tokens to the sink once each, in order.
+func (g *generation) deliver(tokens *wire.Tokens) error {
+	first := int(tokens.GetFirst())
+	if tokens == nil || first > g.delivered {
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "token_gap", "the endpoint left out a part of the answer")
+	}
+	texts := tokens.Texts
+	if known := g.delivered - first; known > 0 {
+		texts = texts[min(known, len(texts)):]
+	}
+	if len(texts) == 0 {
+		return nil
+	}
+	if err := g.sink.tokens(texts); err != nil {
+		return errCallerGone
+	}
+	g.delivered += len(texts)
+	g.server.stats.Tokens.Add(int64(len(texts)))
+	return nil
+}
+
+// end checks that the endpoint's count of the answer is what was delivered.
+func (g *generation) end(finished *wire.Finished) error {
+	if int(finished.OutputTokens) != g.delivered {
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "answer_truncated", "the answer ended before its last token")
+	}
+	g.finished = finished
+	return nil
+}
--- a/internal/rpc/dialer.go
+++ b/internal/rpc/dialer.go
@@ -32,7 +32,7 @@
 	}
 	limitSilence(conn, d.opts)
 	if d.tls != nil {
-		conn, err = d.handshake(ctx, conn, address)
+		conn, err = d.handshake(ctx, conn)
 		if err != nil {
 			return nil, err
 		}
@@ -40,13 +40,8 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: d.opts.drpc()}), nil
 }
 
-func (d *Dialer) handshake(ctx context.Context, conn net.Conn, address string) (net.Conn, error) {
-	config := d.tls
-	if config.ServerName == "" {
-		config = config.Clone()
-		config.ServerName, _, _ = net.SplitHostPort(address)
-	}
-	secured := tls.Client(conn, config)
+func (d *Dialer) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	secured := tls.Client(conn, d.tls)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "tls handshake")
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -30,7 +30,9 @@
 	reconnectMost  = 3 * time.Second
 )
 
-// NewLink returns a link to the agent's address. onState may be nil.
+// NewLink returns a link to the agent's address. onState is called for each
+// state that the agent sends, and with nil when the session is over; it may
+// be nil.
 func NewLink(address string, dialer *Dialer, stats *Stats, onState func(*wire.AgentState)) *Link {
 	return &Link{address: address, dialer: dialer, opts: dialer.opts, stats: stats, onState: onState}
 }
@@ -91,10 +93,13 @@
 // clear forgets the session and its state and says whether there was a state.
 func (l *Link) clear() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	heard := l.state != nil
 	l.session = nil
 	l.state = nil
+	l.mu.Unlock()
+	if l.onState != nil {
+		l.onState(nil)
+	}
 	return heard
 }
 
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -11,25 +11,20 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// Admit decides by the peer's certificate whether a connection is served.
-type Admit func(tls.ConnectionState) error
-
 // Server serves drpc connections with mutual TLS.
 type Server struct {
 	tls    *tls.Config
-	admit  Admit
 	opts   Options
 	server *drpcserver.Server
 	conns  sync.WaitGroup
 }
 
-// NewServer returns a server for the handler. A nil config means connections
-// without TLS, which only tests use; admit may be nil then.
-func NewServer(handler drpc.Handler, config *tls.Config, admit Admit, opts Options) *Server {
+// NewServer returns a server for the handler. The config decides which peers
+// are served; a nil one means connections without TLS, which only tests use.
+func NewServer(handler drpc.Handler, config *tls.Config, opts Options) *Server {
 	opts = opts.withDefaults()
 	return &Server{
 		tls:    config,
-		admit:  admit,
 		opts:   opts,
 		server: drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: opts.drpc()}),
 	}
@@ -75,12 +70,6 @@
 	if err := secured.HandshakeContext(ctx); err != nil {
 		return nil, errors.Wrap(err, "tls handshake")
 	}
-	if s.admit == nil {
-		return secured, nil
-	}
-	if err := s.admit(secured.ConnectionState()); err != nil {
-		return nil, errors.Wrap(err, "peer is not admitted")
-	}
 	return secured, nil
 }
 
--- a/internal/rpc/session_test.go
+++ b/internal/rpc/session_test.go
@@ -69,7 +69,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = NewServer(mux, nil, nil, agent.opts).Serve(ctx, listener)
+		_ = NewServer(mux, nil, agent.opts).Serve(ctx, listener)
 	}()
 	tb.Cleanup(func() {
 		cancel()
