queue: admit by class and by workspace in tokens

Cause: long prompts displace short chats and one workspace can fill a queue. Change: internal/queue with six lanes (class, short or long), strict order with a share of the work for later lanes, virtual token counters between workspaces, a limit of prefill for long prompts, refusals by expected wait, push-out of the largest flow. Ruled out: deficit round robin (needs a quantum near the largest prompt, so chats wait a round).

--- /dev/null
+++ b/internal/queue/bench_test.go
@@ -0,0 +1,43 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+)
+
+func BenchmarkAdmitRelease(b *testing.B) {
+	q := New(DefaultSettings())
+	q.SetCapacity(testCapacity())
+	ctx := b.Context()
+	item := chat("w")
+	b.ReportAllocs()
+	for b.Loop() {
+		t, err := q.Admit(ctx, item)
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.Prefilled()
+		t.Release(50)
+	}
+}
+
+func BenchmarkCoreBacklog(b *testing.B) {
+	for _, n := range []int{5, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newTestCore(nil)
+			for i := range 1500 {
+				if _, _, err := c.Push(epoch, chat(fmt.Sprint(i%n))); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				e := c.Next()
+				c.Release(e, 50)
+				if _, _, err := c.Push(epoch, e.Item); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/queue/core_test.go
@@ -0,0 +1,252 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func testCapacity() Capacity {
+	return Capacity{PrefillTokens: 8000, Pieces: 100, PrefillRate: 10000, DecodeRate: 10000}
+}
+
+func newTestCore(change func(*Settings)) *Core {
+	s := DefaultSettings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = time.Hour
+	}
+	if change != nil {
+		change(&s)
+	}
+	c := NewCore(s)
+	c.SetCapacity(testCapacity())
+	return c
+}
+
+func chat(workspace string) Item {
+	return Item{Workspace: workspace, Class: Interactive, PromptTokens: 500, OutputTokens: 100}
+}
+
+// serveAll admits and releases n entries in turn and returns their work by workspace.
+func serveAll(c *Core, n int) map[string]int64 {
+	served := make(map[string]int64)
+	for range n {
+		e := c.Next()
+		if e == nil {
+			break
+		}
+		served[e.Workspace] += e.cost()
+		c.Release(e, e.OutputTokens)
+	}
+	return served
+}
+
+func TestShareBetweenWorkspacesIsInTokens(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(nil)
+	for range 400 {
+		_, _, err := c.Push(epoch, chat("many-small"))
+		is.NoErr(err)
+	}
+	for range 100 {
+		_, _, err := c.Push(epoch, Item{Workspace: "few-large", PromptTokens: 2000, OutputTokens: 800})
+		is.NoErr(err)
+		_, _, err = c.Push(epoch, Item{Workspace: "weight-2", Weight: 2, PromptTokens: 1000, OutputTokens: 400})
+		is.NoErr(err)
+	}
+	served := serveAll(c, 150)
+	largest := int64(2000 + 2*800)
+	is.True(abs(served["many-small"]-served["few-large"]) <= largest)
+	is.True(abs(served["weight-2"]-2*served["few-large"]) <= 2*largest)
+}
+
+func abs(n int64) int64 { return max(n, -n) }
+
+func TestIdleWorkspaceGainsNoCredit(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(nil)
+	push := func(w string, n int) {
+		for range n {
+			_, _, err := c.Push(epoch, chat(w))
+			is.NoErr(err)
+		}
+	}
+	push("busy", 300)
+	serveAll(c, 200)
+	push("back", 100)
+	served := serveAll(c, 100)
+	is.True(abs(served["busy"]-served["back"]) <= 2*700)
+}
+
+func TestLeavingAndComingBackDoesNotResetTheCounter(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(nil)
+	// "hopper" never has more than one entry waiting, each of them large.
+	large := Item{Workspace: "hopper", PromptTokens: 3000, OutputTokens: 1000}
+	for range 200 {
+		_, _, err := c.Push(epoch, chat("steady"))
+		is.NoErr(err)
+	}
+	served := make(map[string]int64)
+	waiting := false
+	for range 100 {
+		if !waiting {
+			_, _, err := c.Push(epoch, large)
+			is.NoErr(err)
+			waiting = true
+		}
+		e := c.Next()
+		served[e.Workspace] += e.cost()
+		waiting = waiting && e.Workspace != "hopper"
+		c.Release(e, e.OutputTokens)
+	}
+	is.True(abs(served["hopper"]-served["steady"]) <= 2*large.cost())
+}
+
+func TestUrgentFirstButBatchKeepsItsShare(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(nil)
+	for i := range 1000 {
+		item := chat("w")
+		item.Class = Class(i % 3)
+		_, _, err := c.Push(epoch, item)
+		is.NoErr(err)
+	}
+	var count [classCount]int
+	for range 300 {
+		e := c.Next()
+		count[e.Class]++
+		c.Release(e, e.OutputTokens)
+	}
+	is.True(count[Interactive] >= 240)
+	is.True(count[Standard] >= 15)
+	is.True(count[Batch] >= 7)
+}
+
+func TestFullClassPushesOutTheLargestFlow(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(func(s *Settings) { s.Classes[Interactive].MaxWaiting = 10 })
+	for range 10 {
+		_, _, err := c.Push(epoch, chat("flood"))
+		is.NoErr(err)
+	}
+	_, _, err := c.Push(epoch, chat("flood"))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.As(err).Status, 429)
+	for i := range 5 {
+		_, out, err := c.Push(epoch, chat(fmt.Sprint("small", i)))
+		is.NoErr(err)
+		is.Equal(out.Workspace, "flood")
+		is.Equal(out.State, Refused)
+		is.Equal(verdict.Of(out.Err), verdict.NotRun)
+	}
+	is.Equal(c.Stats().Waiting[Interactive], 10)
+}
+
+func TestEarlyRefusalHitsOnlyTheWorkspaceThatWaits(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(func(s *Settings) { s.Classes[Interactive].Deadline = 2 * time.Second })
+	var err error
+	pushed := 0
+	for ; err == nil && pushed < 1000; pushed++ {
+		_, _, err = c.Push(epoch, chat("flood"))
+	}
+	is.True(err != nil)
+	is.True(pushed < 60) // 10,000 prompt tokens a second, 500 each, 2 s
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.As(err).Status, 503)
+	is.True(verdict.As(err).RetryAfter >= time.Second)
+	_, _, err = c.Push(epoch, chat("other"))
+	is.NoErr(err)
+}
+
+func TestNoCapacityRefuses(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(DefaultSettings())
+	_, _, err := c.Push(epoch, chat("w"))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+}
+
+func TestCapacityIsNeverExceededAndNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newTestCore(func(s *Settings) { s.Classes[Batch].MaxWaiting = 20 })
+		var waiting, admitted []*Entry
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				e, _, err := c.Push(epoch, drawItem(t))
+				if err == nil {
+					waiting = append(waiting, e)
+				}
+			case 2:
+				if len(admitted) > 0 {
+					c.Prefilled(admitted[rapid.IntRange(0, len(admitted)-1).Draw(t, "prefilled")])
+				}
+			case 3:
+				if len(admitted) > 0 {
+					c.Release(admitted[rapid.IntRange(0, len(admitted)-1).Draw(t, "released")], 10)
+				}
+			case 4:
+				if len(waiting) > 0 {
+					c.Refuse(waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "refused")], errNoCapacity())
+				}
+			}
+			for e := c.Next(); e != nil; e = c.Next() {
+				admitted = append(admitted, e)
+			}
+			checkHeld(t, c, admitted)
+		}
+		for len(admitted) > 0 {
+			c.Release(admitted[0], 10)
+			admitted = admitted[1:]
+			for e := c.Next(); e != nil; e = c.Next() {
+				admitted = append(admitted, e)
+			}
+		}
+		for _, e := range waiting {
+			if e.State == Waiting {
+				t.Fatal("an entry waits although everything is free")
+			}
+		}
+		if s := c.Stats(); s.PrefillTokens != 0 || s.Pieces != 0 || s.Waiting != [classCount]int{} {
+			t.Fatalf("capacity is left behind: %+v", s)
+		}
+	})
+}
+
+func drawItem(t *rapid.T) Item {
+	return Item{
+		Workspace:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		Class:        Class(rapid.IntRange(0, 2).Draw(t, "class")),
+		PromptTokens: rapid.Int64Range(1, 20000).Draw(t, "prompt"),
+		OutputTokens: rapid.Int64Range(1, 5000).Draw(t, "output"),
+	}
+}
+
+func checkHeld(t *rapid.T, c *Core, admitted []*Entry) {
+	var prefill, pieces int64
+	holders := 0
+	for _, e := range admitted {
+		prefill += e.prefill
+		pieces += e.pieces
+		if e.State == Admitted {
+			holders++
+		}
+	}
+	if prefill != c.prefill || pieces != c.pieces {
+		t.Fatal("held capacity is miscounted")
+	}
+	if pieces > c.capacity.Pieces && holders > 1 {
+		t.Fatalf("%d pieces are held by %d entries", pieces, holders)
+	}
+	if c.longPrefill > c.longLimit() {
+		t.Fatalf("long prompts hold %d", c.longPrefill)
+	}
+}
--- /dev/null
+++ b/internal/queue/item.go
@@ -0,0 +1,28 @@
+package queue
+
+import "github.com/acacialink/acacialink/internal/platform"
+
+// Item is a request that asks for admission.
+type Item struct {
+	Workspace string
+	Class     Class
+	// Weight is the workspace's share under contention; less than 1 means 1.
+	Weight int
+	// PromptTokens is the length of the prompt, OutputTokens the most that
+	// the answer may have.
+	PromptTokens int64
+	OutputTokens int64
+}
+
+// outputCost is what an output token costs in prompt tokens, for shares.
+const outputCost = 2
+
+// cost is the item's work for shares between workspaces and lanes.
+func (i *Item) cost() int64 { return i.PromptTokens + outputCost*i.OutputTokens }
+
+func (i *Item) pieces() int64 {
+	tokens := i.PromptTokens + i.OutputTokens
+	return (tokens + platform.PieceTokens - 1) / platform.PieceTokens
+}
+
+func (i *Item) weight() float64 { return float64(max(1, i.Weight)) }
