--- /dev/null
+++ b/internal/standin/jsonhttp/jsonhttp.go
@@ -0,0 +1,68 @@
+// Package jsonhttp reads and writes the JSON bodies of the stand-ins.
+package jsonhttp
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// maxBodyBytes bounds what a stand-in reads.
+const maxBodyBytes = 64 << 20
+
+// Read decodes the request's body into v. On failure it answers 422 and
+// returns false.
+func Read(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		return false
+	}
+	return true
+}
+
+// Bytes returns the request's whole body. On failure it answers 422 and
+// returns false.
+func Bytes(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		return nil, false
+	}
+	return body, true
+}
+
+// Write answers 200 with v.
+func Write(w http.ResponseWriter, v any) { write(w, http.StatusOK, v) }
+
+// Answer answers 200 with v, or err's status and body.
+func Answer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		Fail(w, err)
+		return
+	}
+	Write(w, v)
+}
+
+// Fail answers with err's status and body.
+func Fail(w http.ResponseWriter, err error) {
+	status, body := platform.EncodeError(err)
+	write(w, status, body)
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
