--- /dev/null
+++ b/internal/snapshot/route.go
@@ -0,0 +1,48 @@
+package snapshot
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/acacialink/acacialink/internal/resource"
+)
+
+// routeEntry is one route; the routes of a view are sorted by falling length
+// of their prefix.
+type routeEntry struct {
+	name string
+	spec resource.RouteSpec
+}
+
+func newRoutes(t table[resource.Resource]) []routeEntry {
+	routes := make([]routeEntry, 0, t.size)
+	for name, r := range t.all() {
+		spec, err := decodeSpec[resource.RouteSpec](r)
+		if err == nil {
+			routes = append(routes, routeEntry{name: name, spec: spec})
+		}
+	}
+	slices.SortFunc(routes, func(a, b routeEntry) int {
+		if d := len(b.spec.Prefix) - len(a.spec.Prefix); d != 0 {
+			return d
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	return routes
+}
+
+// Route returns the route with the longest prefix of the path. A prefix ends
+// at a slash of the path or at its end.
+func (v *View) Route(path string) (name string, spec resource.RouteSpec, ok bool) {
+	for _, r := range v.routes {
+		if matchesPrefix(path, r.spec.Prefix) {
+			return r.name, r.spec, true
+		}
+	}
+	return "", resource.RouteSpec{}, false
+}
+
+func matchesPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
