--- a/internal/snapshot/append.go
+++ b/internal/snapshot/append.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/resource"
 )
 
 // Bounds of one append.
@@ -28,32 +29,38 @@
 
 // Append accepts one change. The edit sees the view that the change follows,
 // so what it checked holds when the change is accepted. It returns the view
-// after the change.
+// after the change, and the change as the last of the step's changes; its
+// revision is zero when the edit changed nothing.
 //
 // ErrUnavailable and the edit's own error mean that nothing was changed.
 // ErrUnknown means that the change may have been accepted: the store's answer
 // was lost and could not be read back before ctx ended.
-func (l *Log) Append(ctx context.Context, from *View, edit Edit) (*View, Change, error) {
+func (l *Log) Append(ctx context.Context, from *View, edit Edit) (Step, resource.Revision, error) {
+	var passed []Change
 	for range maxAppendTries {
 		h, at, err := l.readHead(ctx)
 		if err != nil {
-			return nil, Change{}, unavailable(err)
+			return Step{}, 0, unavailable(err)
 		}
-		v, err := l.catchUp(ctx, from, h)
+		s, err := l.catchUp(ctx, from, h)
 		if errors.Is(err, errFolded) {
 			continue
 		}
 		if err != nil {
-			return nil, Change{}, unavailable(err)
+			return Step{}, 0, unavailable(err)
 		}
-		from = v
-		a := &attempt{log: l, at: at, head: h, view: v, edit: edit}
+		from = s.View
+		passed = append(passed, s.Changes...)
+		a := &attempt{log: l, at: at, head: h, view: from, edit: edit}
 		done, err := a.run(ctx)
-		if err != nil || done {
-			return a.next, a.change, err
+		if err != nil {
+			return Step{}, 0, err
+		}
+		if done {
+			return a.step(passed), a.change.Revision, nil
 		}
 	}
-	return nil, Change{}, ErrBusy
+	return Step{}, 0, ErrBusy
 }
 
 // unavailable marks an error of a call that changes nothing.
@@ -76,6 +83,14 @@
 	next   *View
 }
 
+// step is the result of an accepted attempt after the changes passed.
+func (a *attempt) step(passed []Change) Step {
+	if a.change.Revision > 0 {
+		passed = append(passed, a.change)
+	}
+	return Step{View: a.next, Changes: passed}
+}
+
 // run returns true when the change is accepted or there is none, and false
 // when another writer was faster.
 func (a *attempt) run(ctx context.Context) (bool, error) {
--- a/internal/snapshot/log.go
+++ b/internal/snapshot/log.go
@@ -51,27 +51,37 @@
 	head     head
 }
 
+// Step is a view with the changes that led to it. The changes are consecutive
+// and end at the view's revision; they may not reach back to the view that the
+// reader started from.
+type Step struct {
+	View    *View
+	Changes []Change
+}
+
 // Read returns the view at the store's head, starting from a view that the
 // caller holds. The result holds every change that was accepted before Read
 // was called.
-func (l *Log) Read(ctx context.Context, from *View, c *Cursor) (*View, error) {
+func (l *Log) Read(ctx context.Context, from *View, c *Cursor) (Step, error) {
 	for range maxCatchupTries {
 		h, err := l.pollHead(ctx, c)
 		if err != nil {
-			return nil, err
+			return Step{}, err
 		}
-		v, err := l.catchUp(ctx, from, h)
+		s, err := l.catchUp(ctx, from, h)
 		if errors.Is(err, errFolded) {
 			c.known = false
 			continue
 		}
-		return v, err
+		return s, err
 	}
-	return nil, errors.Wrap(platform.ErrUnavailable, errFolded.Error())
+	return Step{}, errors.Wrap(platform.ErrUnavailable, errFolded.Error())
 }
 
 // pollHead returns the current head; an unchanged one costs a watch without events.
 func (l *Log) pollHead(ctx context.Context, c *Cursor) (head, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	if !c.known {
 		return l.loadHead(ctx, c)
 	}
@@ -121,37 +131,22 @@
 
 // catchUp returns the view at the head. A view that is already later is
 // returned as it is.
-func (l *Log) catchUp(ctx context.Context, from *View, h head) (*View, error) {
+func (l *Log) catchUp(ctx context.Context, from *View, h head) (Step, error) {
 	if from.Revision() >= h.Revision {
-		return from, nil
+		return Step{View: from}, nil
 	}
 	if from.Revision()+1 < h.firstChange() {
 		v, err := l.loadSnapshot(ctx, h.Snapshot)
 		if err != nil {
-			return nil, err
+			return Step{}, err
 		}
 		from = v
 	}
 	changes, err := l.changesAfter(ctx, h, from.Revision())
 	if err != nil {
-		return nil, err
-	}
-	return applyAll(from, changes)
-}
-
-// applyAll applies the changes that the view does not have yet.
-func applyAll(v *View, changes []Change) (*View, error) {
-	for _, c := range changes {
-		if c.Revision <= v.Revision() {
-			continue
-		}
-		next, err := v.Apply(c)
-		if err != nil {
-			return nil, err
-		}
-		v = next
+		return Step{}, err
 	}
-	return v, nil
+	return from.applyAll(changes)
 }
 
 func (l *Log) changesAfter(ctx context.Context, h head, after resource.Revision) ([]Change, error) {
--- /dev/null
+++ b/internal/snapshot/round.go
@@ -0,0 +1,102 @@
+package snapshot
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Times of a round.
+const (
+	// roundInterval is the time between two confirmations of a host.
+	roundInterval = 700 * time.Millisecond
+	// storeTimeout bounds one poll of the head at the store.
+	storeTimeout = 300 * time.Millisecond
+	// loadTimeout bounds loading a whole snapshot, from the store or a peer.
+	loadTimeout = 10 * time.Second
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = 250 * time.Millisecond
+)
+
+// Run keeps the view current and confirmed until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	ticker := time.NewTicker(roundInterval)
+	defer ticker.Stop()
+	for {
+		h.round(ctx)
+		h.upkeep(ctx)
+		h.pages.expire()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-h.wake:
+		}
+	}
+}
+
+// round confirms the view once, at the cheapest place that answers.
+func (h *Holder) round(ctx context.Context) {
+	d := dutiesOf(h.o.Host, h.o.Domain, h.o.Directory(), h.Current().Voters())
+	if !d.reader {
+		if !h.confirmWithPeers(ctx, d) {
+			h.confirmAtStore(ctx)
+		}
+		return
+	}
+	if !h.storeFailed.Load() && h.confirmAtStore(ctx) {
+		return
+	}
+	// While the store does not answer, the peers are asked in parallel to it.
+	var g errgroup.Group
+	g.Go(func() error {
+		h.confirmAtStore(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		if !d.voter || !h.confirmWithMajority(ctx) {
+			h.confirmWithPeers(ctx, d)
+		}
+		return nil
+	})
+	_ = g.Wait()
+}
+
+// confirmAtStore reads the head of the log. The age counts from before the
+// read was sent.
+func (h *Holder) confirmAtStore(ctx context.Context) bool {
+	h.cursorMu.Lock()
+	defer h.cursorMu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	asOf := h.o.Clock.now()
+	s, err := h.o.Log.Read(ctx, h.Current(), &h.cursor)
+	h.storeFailed.Store(err != nil)
+	if err != nil {
+		h.o.Logger.Debug("configuration not confirmed at the store", "error", err.Error())
+		return false
+	}
+	if h.flaws.ageFromAnswer {
+		asOf = h.o.Clock.now()
+	}
+	h.install(s)
+	h.qualified.Store(true) // The head holds whatever an earlier start acknowledged.
+	return h.confirm(asOf, s.View.revision)
+}
+
+// confirmWithPeers asks the upstreams, one after the other, until one of them
+// gives a fresh confirmation.
+func (h *Holder) confirmWithPeers(ctx context.Context, d duties) bool {
+	tried := 0
+	for _, peer := range d.upstreams {
+		if tried == maxUpstreams {
+			break
+		}
+		tried++
+		if h.confirmWithPeer(ctx, peer) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -140,6 +140,23 @@
 	return &next, nil
 }
 
+// applyAll applies the changes that the view does not have yet.
+func (v *View) applyAll(changes []Change) (Step, error) {
+	step := Step{View: v}
+	for _, c := range changes {
+		if c.Revision <= step.View.revision {
+			continue
+		}
+		next, err := step.View.Apply(c)
+		if err != nil {
+			return Step{}, err
+		}
+		step.View = next
+		step.Changes = append(step.Changes, c)
+	}
+	return step, nil
+}
+
 func decodeSpec[T any](r resource.Resource) (T, error) {
 	var spec T
 	if err := json.Unmarshal(r.Spec, &spec); err != nil {
