--- /dev/null
+++ b/internal/node/agent.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/acacialink/acacialink/internal/agent"
+	"github.com/acacialink/acacialink/internal/certs"
+	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/settings"
+)
+
+// Agent is one agent process.
+type Agent struct {
+	settings  settings.Agent
+	log       *slog.Logger
+	agent     *agent.Agent
+	server    *rpc.Server
+	registry  *observe.Registry
+	listener  net.Listener
+	operators net.Listener
+	draining  drainState
+}
+
+// NewAgent opens the listeners of an agent and returns it; Run serves.
+func NewAgent(ctx context.Context, s settings.Agent, source certs.Source, log *slog.Logger) (*Agent, error) {
+	a := &Agent{settings: s, log: log, registry: observe.NewRegistry(observe.Identity{Process: s.Name, Role: "agent", Domain: s.Domain})}
+	a.agent = agent.New(agentOptions(s))
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterAgent(mux, a.agent); err != nil {
+		return nil, errors.Wrap(err, "register agent")
+	}
+	a.server = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry), agentRPC(s))
+	a.registry.RegisterState("agent", func() any { return a.agent.State() })
+	a.publish()
+	if err := a.listen(ctx); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func agentOptions(s settings.Agent) agent.Options {
+	o := agent.Options{
+		Endpoint:     s.Name,
+		Domain:       s.Domain,
+		Incarnation:  observe.NewRequestID(),
+		MaxInFlight:  s.Limits.Streams,
+		LoadInterval: s.Timeouts.Load.Std(),
+		RPC:          agentRPC(s),
+	}
+	if s.Endpoint.Type == "service" {
+		o.Service = platform.NewHTTPService(s.Endpoint.URL, nil)
+		return o
+	}
+	o.Engine = platform.NewHTTPEngine(s.Endpoint.URL, nil)
+	return o
+}
+
+func agentRPC(s settings.Agent) rpc.Options {
+	return rpc.Options{
+		Heartbeat:    s.Timeouts.Heartbeat.Std(),
+		Silence:      s.Timeouts.Silent.Std(),
+		DialTimeout:  s.Timeouts.Dial.Std(),
+		MessageBytes: int(s.Limits.MessageBytes),
+		MaxStreams:   s.Limits.Streams,
+		OutboxBytes:  int(s.Limits.SessionQueueBytes),
+	}
+}
+
+func (a *Agent) publish() {
+	stats := a.agent.Stats()
+	a.registry.NewGauge("generations", func() any { return stats.Generations.Load() })
+	a.registry.NewGauge("calls", func() any { return stats.Calls.Load() })
+	a.registry.NewGauge("refused", func() any { return stats.Refused.Load() })
+	a.registry.NewGauge("failed", func() any { return stats.Failed.Load() })
+	a.registry.NewGauge("tokens", func() any { return stats.Tokens.Load() })
+}
+
+func (a *Agent) listen(ctx context.Context) error {
+	var err error
+	if a.listener, err = listen(ctx, a.settings.Listen); err != nil {
+		return err
+	}
+	if a.operators, err = listen(ctx, a.settings.OperatorListen); err != nil {
+		_ = a.listener.Close()
+		return err
+	}
+	return nil
+}
+
+// Addr is the address that entry hosts connect to.
+func (a *Agent) Addr() string { return a.listener.Addr().String() }
+
+// OperatorAddr is the address of metrics and dumps.
+func (a *Agent) OperatorAddr() string { return a.operators.Addr().String() }
+
+// Run serves until ctx ends, then drains: new work is refused, running work
+// ends, and only then the listeners close.
+func (a *Agent) Run(ctx context.Context) error {
+	authenticator, err := observe.NewAuthenticator(operatorsOf(a.settings.Operators))
+	if err != nil {
+		return errors.Wrap(err, "operators")
+	}
+	root, _ := observe.NewOperatorMux(a.registry, authenticator, &a.draining)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { return a.server.Serve(serving, a.listener) })
+	g.Go(func() error { return serveHTTP(serving, &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, a.operators) })
+	g.Go(func() error { a.agent.Run(serving); return nil })
+	a.log.Info("agent started", "endpoint", a.settings.Name, "address", a.Addr())
+	g.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+		case <-serving.Done():
+			return nil
+		}
+		a.drain(serving)
+		return nil
+	})
+	return g.Wait()
+}
+
+func (a *Agent) drain(ctx context.Context) {
+	a.draining.begin()
+	a.log.Info("drain began", "endpoint", a.settings.Name)
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, a.settings.Timeouts.Drain.Std())
+	defer cancel()
+	left := a.agent.Drain(ctx)
+	a.log.Info("drain ended", "endpoint", a.settings.Name, "requests_left", left, "duration_ms", time.Since(begun).Milliseconds())
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,262 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/acacialink/acacialink/internal/certs"
+	"github.com/acacialink/acacialink/internal/entry"
+	"github.com/acacialink/acacialink/internal/fleet"
+	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/queue"
+	"github.com/acacialink/acacialink/internal/route"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/settings"
+	"github.com/acacialink/acacialink/internal/snapshot"
+)
+
+// Entry is one entry host process.
+type Entry struct {
+	settings    settings.Entry
+	incarnation string
+	log         *slog.Logger
+	registry    *observe.Registry
+	store       platform.Store
+	directory   *directory
+	config      *snapshot.Holder
+	router      *route.Router
+	fleet       *fleet.Fleet
+	queues      *entry.Queues
+	callers     *entry.Server
+	peers       *rpc.Server
+	rpcStats    rpc.Stats
+	draining    drainState
+
+	callerListener, operatorListener, peerListener net.Listener
+}
+
+// NewEntry opens the listeners of an entry host and returns it; Run serves.
+func NewEntry(ctx context.Context, s settings.Entry, source certs.Source, log *slog.Logger) (*Entry, error) {
+	e := &Entry{
+		settings:    s,
+		incarnation: observe.NewRequestID(),
+		log:         log,
+		registry:    observe.NewRegistry(observe.Identity{Process: s.Name, Role: "entry", Domain: s.Domain}),
+		store:       platform.NewHTTPStore(s.Platform.Store, nil),
+		queues:      entry.NewQueues(queue.DefaultSettings()),
+	}
+	e.buildConfig(source)
+	e.buildFleet(source)
+	e.callers = entry.New(e.callerOptions())
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, e); err != nil {
+		return nil, errors.Wrap(err, "register peer")
+	}
+	e.peers = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry), entryRPC(s))
+	e.publish()
+	if err := e.listen(ctx); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// idlePeerConnections is how many connections to each peer stay open.
+const idlePeerConnections = 2
+
+func (e *Entry) buildConfig(source certs.Source) {
+	s := e.settings
+	dialer := rpc.NewDialer(certs.ClientTLS(source, certs.RoleEntry, ""), entryRPC(s))
+	hosts := platform.NewHTTPHostList(s.Platform.HostList, nil)
+	e.directory = newDirectory(hosts, rpc.NewPool(dialer, idlePeerConnections), s.Member.HostList.Std())
+	e.config = snapshot.NewHolder(snapshot.HolderOptions{
+		Host:        s.Name,
+		Domain:      s.Domain,
+		Incarnation: e.incarnation,
+		Log:         snapshot.NewLog(e.store, e.log),
+		Peers:       e.directory,
+		Directory:   e.directory.Peers,
+		Logger:      e.log,
+	})
+}
+
+func (e *Entry) buildFleet(source certs.Source) {
+	s := e.settings
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	e.router = route.NewRouter(route.NewPicker(seed))
+	e.fleet = fleet.New(fleet.Options{
+		Host:   s.Name,
+		Domain: s.Domain,
+		Dialer: func(endpoint string) *rpc.Dialer {
+			return rpc.NewDialer(certs.ClientTLS(source, certs.RoleAgent, endpoint), entryRPC(s))
+		},
+		Stats:         &e.rpcStats,
+		Router:        e.router,
+		Subset:        route.DefaultSubsetSize,
+		RetireTimeout: s.Timeouts.Drain.Std(),
+	})
+}
+
+func entryRPC(s settings.Entry) rpc.Options {
+	return rpc.Options{
+		Heartbeat:    s.Timeouts.Heartbeat.Std(),
+		Silence:      s.Timeouts.Silent.Std(),
+		DialTimeout:  s.Timeouts.Dial.Std(),
+		MessageBytes: int(s.Limits.ResponseBytes + s.Limits.PeerMessageBytes),
+		MaxStreams:   s.Limits.SessionStreams,
+		MailboxBytes: int(s.Limits.StreamBufferBytes),
+		OutboxBytes:  int(s.Limits.SessionQueueBytes),
+	}
+}
+
+func (e *Entry) callerOptions() entry.Options {
+	s := e.settings
+	return entry.Options{
+		Domain:   s.Domain,
+		Config:   e.config,
+		Router:   e.router,
+		Sessions: e.fleet,
+		Queue:    e.queues,
+		Limits: entry.Limits{
+			BodyBytes:    s.Limits.BodyBytes,
+			PromptBytes:  s.Limits.PromptBytes,
+			OpenRequests: s.Limits.OpenRequests,
+		},
+		Timeouts: entry.Timeouts{
+			Body:          s.Timeouts.Body.Std(),
+			Write:         s.Timeouts.Write.Std(),
+			Queue:         s.Timeouts.Queue.Std(),
+			FirstToken:    s.Timeouts.FirstToken.Std(),
+			BetweenTokens: s.Timeouts.BetweenTokens.Std(),
+			Call:          s.Timeouts.Call.Std(),
+		},
+		Log: e.log,
+	}
+}
+
+func (e *Entry) listen(ctx context.Context) error {
+	addresses := []string{e.settings.Listen.Callers, e.settings.Listen.Operators, e.settings.Listen.Peers}
+	targets := []*net.Listener{&e.callerListener, &e.operatorListener, &e.peerListener}
+	for i, address := range addresses {
+		l, err := listen(ctx, address)
+		if err != nil {
+			e.closeListeners()
+			return err
+		}
+		*targets[i] = l
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callerListener, e.operatorListener, e.peerListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallerAddr, OperatorAddr and PeerAddr are the addresses that the process
+// listens on.
+func (e *Entry) CallerAddr() string { return e.callerListener.Addr().String() }
+
+// OperatorAddr is the address of the resource API, metrics and dumps.
+func (e *Entry) OperatorAddr() string { return e.operatorListener.Addr().String() }
+
+// PeerAddr is the address for other entry hosts.
+func (e *Entry) PeerAddr() string { return e.peerListener.Addr().String() }
+
+// Run serves until ctx ends and then makes a planned stop: the host turns
+// not-ready, running requests end, and only then connections close.
+func (e *Entry) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	operators, err := e.operatorServer()
+	if err != nil {
+		return err
+	}
+	callers := e.callerServer()
+	var g errgroup.Group
+	g.Go(func() error { return e.peers.Serve(serving, e.peerListener) })
+	g.Go(func() error { return serveHTTP(serving, operators, e.operatorListener) })
+	g.Go(func() error { return serveHTTP(serving, callers, e.callerListener) })
+	for _, run := range e.loops() {
+		g.Go(func() error { run(serving); return nil })
+	}
+	e.log.Info("entry started", "callers", e.CallerAddr(), "operators", e.OperatorAddr(), "peers", e.PeerAddr())
+	g.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			e.drain(serving, callers)
+		case <-serving.Done():
+		}
+		return nil
+	})
+	err = g.Wait()
+	e.fleet.Wait()
+	return err
+}
+
+// loops are what runs beside the listeners.
+func (e *Entry) loops() []func(context.Context) {
+	return []func(context.Context){
+		e.directory.Run,
+		e.config.Run,
+		e.followConfig,
+		e.followCapacity,
+	}
+}
+
+// followConfig keeps the sessions to agents in line with the configuration.
+func (e *Entry) followConfig(ctx context.Context) {
+	for {
+		changed := e.config.Changed()
+		e.reconcile(ctx, e.config.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (e *Entry) reconcile(ctx context.Context, view *snapshot.View) {
+	endpoints := make([]fleet.Endpoint, 0, len(view.Endpoints()))
+	for _, one := range view.Endpoints() {
+		endpoints = append(endpoints, fleet.Endpoint{Name: one.Name, Spec: one.Spec})
+	}
+	e.fleet.Reconcile(ctx, endpoints)
+	spec, _ := view.Domain(e.settings.Domain)
+	for to, us := range spec.Distance {
+		e.router.SetDistance(e.settings.Domain, to, time.Duration(us)*time.Microsecond)
+	}
+}
+
+// capacityInterval is how often admission learns the endpoints' capacity.
+const capacityInterval = 250 * time.Millisecond
+
+func (e *Entry) followCapacity(ctx context.Context) {
+	ticker := time.NewTicker(capacityInterval)
+	defer ticker.Stop()
+	for {
+		view := e.config.Current()
+		byModel := capacities(view, e.fleet.States(), len(e.directory.Peers()))
+		for model := range view.Models() {
+			e.queues.SetCapacity(model, byModel[model])
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/entryhttp.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/observe"
+)
+
+// callerServer serves callers. It bounds headers in size and time.
+func (e *Entry) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           e.callers,
+		ReadHeaderTimeout: e.settings.Timeouts.Header.Std(),
+		IdleTimeout:       e.settings.Timeouts.Idle.Std(),
+		MaxHeaderBytes:    int(e.settings.Limits.HeaderBytes),
+	}
+}
+
+// operatorServer serves operators: health, metrics, dumps and the resource API.
+func (e *Entry) operatorServer() (*http.Server, error) {
+	authenticator, err := observe.NewAuthenticator(operatorsOf(e.settings.Operators))
+	if err != nil {
+		return nil, errors.Wrap(err, "operators")
+	}
+	root, _ := observe.NewOperatorMux(e.registry, authenticator, &e.draining)
+	return &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, nil
+}
+
+// drainPoll is how often a planned stop looks at the requests in progress.
+const drainPoll = 10 * time.Millisecond
+
+// drain makes a planned stop: the host says that it is not ready, goes on
+// serving while the balancer takes notice, and then lets running requests end.
+// Connections are kept until then, since a request may be on its way.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+	e.draining.begin()
+	e.log.Info("drain began")
+	begun := time.Now()
+	pause(ctx, e.settings.Timeouts.DrainNotice.Std())
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain.Std())
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	e.log.Info("drain ended", "requests_left", e.callers.Open(), "complete", err == nil, "duration_ms", time.Since(begun).Milliseconds())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/node/entrystate.go
@@ -0,0 +1,47 @@
+package node
+
+// publish registers the process's metrics and state.
+func (e *Entry) publish() {
+	stats := e.callers.Stats()
+	gauges := map[string]func() int64{
+		"requests":      stats.Requests.Load,
+		"refused":       stats.Refused.Load,
+		"unknown":       stats.Unknown.Load,
+		"tokens":        stats.Tokens.Load,
+		"retries":       stats.Retries.Load,
+		"resumed":       stats.Resumed.Load,
+		"truncated":     stats.Truncated.Load,
+		"callers_gone":  stats.Gone.Load,
+		"replayed":      stats.Replayed.Load,
+		"open_requests": e.callers.Open,
+		"rpc_late":      e.rpcStats.Late.Load,
+		"rpc_crossed":   e.rpcStats.Crossed.Load,
+		"rpc_silent":    e.rpcStats.Silent.Load,
+		"rpc_broken":    e.rpcStats.Broken.Load,
+		"slow_callers":  e.rpcStats.SlowCallers.Load,
+	}
+	for name, read := range gauges {
+		e.registry.NewGauge(name, func() any { return read() })
+	}
+	e.registry.RegisterState("config", func() any { return e.configState() })
+	e.registry.RegisterState("hosts", func() any { return e.directory.Peers() })
+	e.registry.RegisterState("endpoints", func() any { return e.fleet.States() })
+	e.registry.RegisterState("queues", func() any { return e.queues.Stats() })
+}
+
+// configState is the part of the state dump about the configuration.
+type configState struct {
+	Revision int64 `json:"revision"`
+	// Known is false while the host never confirmed its configuration.
+	Known bool  `json:"known"`
+	AgeMS int64 `json:"age_ms"`
+}
+
+func (e *Entry) configState() configState {
+	age, known := e.config.Age()
+	return configState{
+		Revision: int64(e.config.Current().Revision()),
+		Known:    known,
+		AgeMS:    age.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,16 @@
+package node
+
+import (
+	"context"
+
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+)
+
+// Exchange answers another entry host; each part goes to its package.
+func (e *Entry) Exchange(_ context.Context, m *wire.PeerMessage) (*wire.PeerMessage, error) {
+	answer := &wire.PeerMessage{From: e.settings.Name, Incarnation: e.incarnation}
+	if m.Config != nil {
+		answer.Config = e.config.HandleExchange(m.Config)
+	}
+	return answer, nil
+}
