--- /dev/null
+++ b/internal/once/countedstore.go
@@ -0,0 +1,39 @@
+package once
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+)
+
+// countedStore bounds and counts the calls of the store.
+type countedStore struct {
+	store   platform.Store
+	timeout time.Duration
+	stats   *Stats
+}
+
+// Get reads a key.
+func (s *countedStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.stats.Reads.Add(1)
+	return s.store.Get(ctx, key)
+}
+
+// CompareAndSwap writes a key.
+func (s *countedStore) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.stats.Writes.Add(1)
+	return s.store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+// Grant creates a lease.
+func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.stats.Writes.Add(1)
+	return s.store.Grant(ctx, ttl)
+}
--- /dev/null
+++ b/internal/once/text.go
@@ -0,0 +1,41 @@
+package once
+
+import (
+	"encoding/base64"
+
+	"github.com/pkg/errors"
+)
+
+// errBadHash means that a stored hash has the wrong length or alphabet.
+var errBadHash = errors.New("malformed hash in a claim record")
+
+func encodeHash(b [16]byte) ([]byte, error) {
+	return base64.RawURLEncoding.AppendEncode(nil, b[:]), nil
+}
+
+func decodeHash(dst *[16]byte, text []byte) error {
+	raw, err := base64.RawURLEncoding.DecodeString(string(text))
+	if err != nil || len(raw) != len(dst) {
+		return errBadHash
+	}
+	copy(dst[:], raw)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (h keyHash) MarshalText() ([]byte, error) { return encodeHash(h) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *keyHash) UnmarshalText(text []byte) error { return decodeHash((*[16]byte)(h), text) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (h BodyHash) MarshalText() ([]byte, error) { return encodeHash(h) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *BodyHash) UnmarshalText(text []byte) error { return decodeHash((*[16]byte)(h), text) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (m mark) MarshalText() ([]byte, error) { return encodeHash(m) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *mark) UnmarshalText(text []byte) error { return decodeHash((*[16]byte)(m), text) }
