kv: let a write take effect after its caller gave up

Cause: a lost answer was only modelled as a write that had taken effect already, so a reader that reads back too early was never caught.

--- a/internal/standin/kv/call.go
+++ b/internal/standin/kv/call.go
@@ -20,6 +20,9 @@
 	if err := pause(ctx, op, delay/2); err != nil {
 		return err
 	}
+	if op.writes() && c.actsLate(act) {
+		return lostAnswer(op, "write is still under way")
+	}
 	c.store.mu.Lock()
 	err = act(c.store)
 	c.store.mu.Unlock()
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -15,6 +15,8 @@
 	delay    time.Duration
 	loseNext int
 	loseRate float64
+	lateRate float64
+	lateBy   time.Duration
 	random   *rand.Rand
 	// changed is closed and replaced whenever down or silent changes.
 	changed chan struct{}
