cmd: commands for entry, agent, settings, certs, dump and version

Cause: the processes need a way to be started. Change: kingpin commands that only wire, with the exit codes of package exit; a usage error is 2, a refused settings file 3. Ruled out: flags for single settings, which would not be checked as a whole.

--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -4,11 +4,35 @@
 
 import (
 	"fmt"
-	_ "net" // The resolver links the binary to the C library.
 	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/acacialink/acacialink/internal/exit"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "acacialink: no command given")
-	os.Exit(2)
+	os.Exit(int(run(os.Args[1:])))
+}
+
+// run parses the command line, runs the command and returns the exit code.
+func run(args []string) exit.Code {
+	app := kingpin.New("acacialink", "Serves language models and order services to callers from a limited fleet.")
+	app.HelpFlag.Short('h')
+	app.Terminate(nil)
+	addEntry(app)
+	addAgent(app)
+	addSettings(app)
+	addCerts(app)
+	addDump(app)
+	addVersion(app)
+	command, err := app.Parse(args)
+	if err == nil {
+		return exit.OK
+	}
+	fmt.Fprintf(os.Stderr, "acacialink: %v\n", err)
+	if command == "" {
+		return exit.Usage
+	}
+	return codeOf(err)
 }
--- /dev/null
+++ b/cmd/acacialink/settings.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/exit"
+	"github.com/acacialink/acacialink/internal/settings"
+)
+
+func addSettings(app *kingpin.Application) {
+	command := app.Command("settings", "Work with settings files.")
+	check := command.Command("check", "Check a settings file and report every problem.")
+	path := check.Arg("file", "Settings file.").Required().String()
+	check.Action(func(*kingpin.ParseContext) error { return checkSettings(*path) })
+}
+
+func checkSettings(path string) error {
+	problems, err := settings.Check(path)
+	if err != nil {
+		return failed(exit.Settings, err)
+	}
+	for _, p := range problems {
+		fmt.Printf("%s: %s\n", path, p)
+	}
+	if len(problems) > 0 {
+		return failed(exit.Settings, errors.Errorf("%s has %d problems", path, len(problems)))
+	}
+	fmt.Printf("%s: settings are valid\n", path)
+	return nil
+}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -36,7 +38,7 @@
 // failGeneration tells the caller of a failure. An answer that has begun ends
 // without its end marker and without a clean end of the transfer.
 func (s *Server) failGeneration(w http.ResponseWriter, r *http.Request, g *generation, err error) {
-	if r.Context().Err() != nil || err == errCallerGone {
+	if r.Context().Err() != nil || errors.Is(err, errCallerGone) {
 		s.stats.Gone.Add(1)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -116,7 +116,9 @@
 	defer stop()
 	var g errgroup.Group
 	g.Go(func() error { return a.server.Serve(serving, a.listener) })
-	g.Go(func() error { return serveHTTP(serving, &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, a.operators) })
+	g.Go(func() error {
+		return serveHTTP(serving, &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, a.operators)
+	})
 	g.Go(func() error { a.agent.Run(serving); return nil })
 	a.log.Info("agent started", "endpoint", a.settings.Name, "address", a.Addr())
 	g.Go(func() error {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -164,8 +164,7 @@
 	}
 }
 
-// CallerAddr, OperatorAddr and PeerAddr are the addresses that the process
-// listens on.
+// CallerAddr is the address for callers.
 func (e *Entry) CallerAddr() string { return e.callerListener.Addr().String() }
 
 // OperatorAddr is the address of the resource API, metrics and dumps.
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -30,9 +30,6 @@
 	return &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, nil
 }
 
-// drainPoll is how often a planned stop looks at the requests in progress.
-const drainPoll = 10 * time.Millisecond
-
 // drain makes a planned stop: the host says that it is not ready, goes on
 // serving while the balancer takes notice, and then lets running requests end.
 // Connections are kept until then, since a request may be on its way.
