standin: model engine with batching, cache, memory, orders and faults

Routing, role changes and resumption need an engine whose figures move as the platform's do. Orders and generations are recorded with time, fence and issuer.

--- /dev/null
+++ b/internal/standin/engine/handler.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+)
+
+// heartbeatInterval is how often a stream without tokens gets an empty line.
+const heartbeatInterval = time.Second
+
+// Handler returns the HTTP API, with /faults and /record.
+func (e *Engine) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/generate", e.alive(e.serveGenerate)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cancel", e.alive(e.serveCancel)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/load", e.alive(e.serveLoad)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache-events", e.alive(e.serveCacheEvents)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", e.alive(e.serveOrder)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/kv/{name}", e.alive(e.serveExport)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv/{name}", e.alive(e.serveImport)).Methods(http.MethodPost)
+	r.HandleFunc("/faults", e.serveFaults).Methods(http.MethodGet, http.MethodPut, http.MethodDelete)
+	r.HandleFunc("/record", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, e.Record())
+	}).Methods(http.MethodGet)
+	return r
+}
+
+// alive closes the connection of each call to a crashed engine, and of those
+// that run when it crashes.
+func (e *Engine) alive(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		crashed, life := e.faults.Crashed, e.life
+		e.mu.Unlock()
+		if crashed {
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+		select {
+		case <-life:
+			panic(http.ErrAbortHandler)
+		default:
+		}
+	}
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var g platform.Generation
+	if !jsonhttp.Read(w, r, &g) {
+		return
+	}
+	s, err := e.start(r.Context(), g, r.Header)
+	if err != nil {
+		jsonhttp.Fail(w, err)
+		return
+	}
+	out := stream{w: json.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+	err = out.send(platform.GenerateLine{})
+	if err != nil {
+		e.stop(s)
+		return
+	}
+	finish, err := e.follow(r.Context(), s, out.token, out.beat)
+	e.recordEnd(s, err)
+	if errors.Is(err, errCrashed) {
+		panic(http.ErrAbortHandler)
+	}
+	_ = out.end(finish, err)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var c platform.CancelCall
+	if jsonhttp.Read(w, r, &c) {
+		jsonhttp.Answer(w, struct{}{}, e.Cancel(r.Context(), c.ID))
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	load, err := e.Load(r.Context())
+	jsonhttp.Answer(w, load, err)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		jsonhttp.Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		return
+	}
+	list, err := e.CacheEvents(r.Context(), after)
+	jsonhttp.Answer(w, list, err)
+}
+
+// serveOrder carries an accepted order out even if the caller goes away.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !jsonhttp.Read(w, r, &o) {
+		return
+	}
+	err := e.Apply(context.WithoutCancel(r.Context()), o)
+	if errors.Is(err, platform.ErrUnknown) {
+		panic(http.ErrAbortHandler)
+	}
+	jsonhttp.Answer(w, struct{}{}, err)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	value, err := e.ExportKV(r.Context(), mux.Vars(r)["name"])
+	if err != nil {
+		jsonhttp.Fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(value)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	value, ok := jsonhttp.Bytes(w, r)
+	if ok {
+		jsonhttp.Answer(w, struct{}{}, e.ImportKV(r.Context(), mux.Vars(r)["name"], value))
+	}
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if r.Method == http.MethodPut && !jsonhttp.Read(w, r, &f) {
+		return
+	}
+	if r.Method != http.MethodGet {
+		e.SetFaults(f)
+	}
+	jsonhttp.Write(w, e.Faults())
+}
--- /dev/null
+++ b/internal/standin/engine/token.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"strings"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// vocabulary is what answers are made of.
+var vocabulary = strings.Fields(`
+amber anchor apron arch aspen atlas banner barge basin beacon birch boat
+bridge brook candle canal cedar chalk chapel charter clay cloud coast copper
+coral cotton crane creek crown dawn delta dice dock drift dusk eagle ember
+engrave fern ferry festival field flame float forest garden gate glass glow
+grain granite grove harbour hazel heron hill inlet island ivory ivy juniper
+kiln lake lantern lapis larch ledger linen lotus maple marble market meadow
+mill mist moon mosaic moss night north oak ochre olive onyx orchard otter
+paper parish pearl permit pier pine plaza poplar quartz quay rain raven reed
+ridge river rope rose rush saffron sail school seal shore silk silver slate
+sky spire spring spruce star stone stream summer swan tide timber torch tower
+trail tulip valley velvet village vine violet walnut water wave weir wharf
+willow wind winter wood wool workshop wren yard yarrow yew`)
+
+// answerSeed identifies the answer to a prompt.
+func answerSeed(model, adapter, prompt string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{model, adapter, prompt} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// tokenText returns the token of the answer at the index.
+func tokenText(seed uint64, index int) string {
+	mixed := seed + uint64(index)*0x9E3779B97F4A7C15
+	mixed ^= mixed >> 31
+	mixed *= 0xBF58476D1CE4E5B9
+	mixed ^= mixed >> 29
+	return " " + vocabulary[mixed%uint64(len(vocabulary))]
+}
+
+// ExpectedToken returns the text of one token of the answer to a prompt, the
+// same from every engine, so that a resumed answer can be checked.
+func ExpectedToken(model, adapter, prompt string, index int) string {
+	return tokenText(answerSeed(model, adapter, prompt), index)
+}
+
+// ExpectedText returns the first n tokens of the answer to a prompt.
+func ExpectedText(model, adapter, prompt string, n int) string {
+	seed := answerSeed(model, adapter, prompt)
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(tokenText(seed, i))
+	}
+	return text.String()
+}
+
+// answerLength returns how long an answer is and why it ends.
+func (o Options) answerLength(g platform.Generation, seed uint64) (int, string) {
+	if g.MaxTokens <= 0 {
+		return defaultOutputTokens, "stop"
+	}
+	if o.EarlyStops && seed&1 == 1 {
+		return 1 + int((seed>>1)%uint64(g.MaxTokens)), "stop"
+	}
+	return g.MaxTokens, "length"
+}
