--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -42,12 +42,9 @@
 // errCallerGone ends a generation whose caller left or reads no more.
 var errCallerGone = errors.New("caller is gone")
 
-// The pause before endpoints that failed are tried again by an answer that has
-// begun, and how long that goes on.
-const (
-	resumePause = 100 * time.Millisecond
-	resumeFor   = 10 * time.Second
-)
+// resumePause is the pause before an answer that has begun tries endpoints
+// again that failed. It goes on for as long as a caller may see no token.
+const resumePause = 100 * time.Millisecond
 
 func (g *generation) ran() bool { return g.finished != nil || g.mayHaveRun }
 
@@ -76,7 +73,7 @@
 		last = firstOf(last, err)
 		if g.delivered > 0 {
 			if resumeUntil.IsZero() {
-				resumeUntil = time.Now().Add(resumeFor)
+				resumeUntil = time.Now().Add(g.server.opts.Timeouts.BetweenTokens)
 			}
 			if !g.mayResume(ctx, err, resumeUntil) {
 				return g.failure(last)
