--- /dev/null
+++ b/internal/standin/hostlist/hostlist.go
@@ -0,0 +1,122 @@
+// Package hostlist is a stand-in for the platform's lagging list of live and
+// leaving hosts. A List is a platform.HostList itself and also serves the wire
+// format of platform.HTTPHostList.
+package hostlist
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/fault"
+	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
+	"github.com/gorilla/mux"
+)
+
+// Options configure a List.
+type Options struct {
+	// Lag is how old the list is that callers get.
+	Lag time.Duration
+	// Hosts are in the list at the start.
+	Hosts []platform.Host
+}
+
+// List holds the hosts and their past.
+type List struct {
+	lag      time.Duration
+	switches *fault.Switch
+
+	// mu guards all below.
+	mu    sync.Mutex
+	hosts map[string]platform.Host
+	// past holds the versions that callers may still get, oldest first.
+	past []version
+}
+
+type version struct {
+	at    time.Time
+	hosts []platform.Host
+}
+
+var _ platform.HostList = (*List)(nil)
+
+// New returns a list.
+func New(o Options) *List {
+	l := &List{lag: o.Lag, switches: fault.New(0), hosts: make(map[string]platform.Host)}
+	for _, h := range o.Hosts {
+		l.hosts[h.Name] = h
+	}
+	l.keep()
+	return l
+}
+
+// Set adds or changes a host.
+func (l *List) Set(h platform.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts[h.Name] = h
+	l.keep()
+}
+
+// Remove takes a host off the list.
+func (l *List) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.hosts, name)
+	l.keep()
+}
+
+// keep notes the present version. Called with mu held.
+func (l *List) keep() {
+	hosts := make([]platform.Host, 0, len(l.hosts))
+	for _, h := range l.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	l.past = append(l.past, version{at: time.Now(), hosts: hosts})
+	l.prune()
+}
+
+// prune drops versions that a newer one has replaced for all callers.
+func (l *List) prune() {
+	for len(l.past) > 1 && time.Since(l.past[1].at) >= l.lag {
+		l.past = l.past[1:]
+	}
+}
+
+// Hosts implements platform.HostList: the list as it was Options.Lag ago.
+func (l *List) Hosts(context.Context) ([]platform.Host, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune()
+	return slices.Clone(l.past[0].hosts), nil
+}
+
+// Handler returns the HTTP API. PUT /hosts/NAME sets a host, DELETE removes it.
+func (l *List) Handler() http.Handler {
+	r := mux.NewRouter()
+	l.switches.Register(r)
+	r.HandleFunc("/v1/hosts", l.switches.Wrap(func(w http.ResponseWriter, req *http.Request) {
+		hosts, err := l.Hosts(req.Context())
+		jsonhttp.Answer(w, hosts, err)
+	})).Methods(http.MethodGet)
+	r.HandleFunc("/hosts/{name}", l.serveSet).Methods(http.MethodPut)
+	r.HandleFunc("/hosts/{name}", func(w http.ResponseWriter, req *http.Request) {
+		l.Remove(mux.Vars(req)["name"])
+		jsonhttp.Write(w, struct{}{})
+	}).Methods(http.MethodDelete)
+	return r
+}
+
+func (l *List) serveSet(w http.ResponseWriter, r *http.Request) {
+	var h platform.Host
+	if jsonhttp.Read(w, r, &h) {
+		h.Name = mux.Vars(r)["name"]
+		l.Set(h)
+		jsonhttp.Write(w, h)
+	}
+}
--- /dev/null
+++ b/internal/standin/provider/handler.go
@@ -0,0 +1,54 @@
+package provider
+
+import (
+	"net/http"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
+	"github.com/gorilla/mux"
+)
+
+// Handler returns the HTTP API. POST /faults/withdraw/ID withdraws an
+// endpoint, PUT and DELETE /faults/full/DOMAIN switch a domain's capacity.
+func (p *Provider) Handler() http.Handler {
+	r := mux.NewRouter()
+	p.switches.Register(r)
+	r.HandleFunc("/v1/endpoints", p.switches.Wrap(p.serveOrder)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/endpoints", p.switches.Wrap(p.serveList)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/endpoints/return", p.switches.Wrap(p.serveReturn)).Methods(http.MethodPost)
+	r.HandleFunc("/faults/withdraw/{id}", p.serveWithdraw).Methods(http.MethodPost)
+	r.HandleFunc("/faults/full/{domain}", p.serveFull).Methods(http.MethodPut, http.MethodDelete)
+	r.HandleFunc("/record", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, p.Record())
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func (p *Provider) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.EndpointOrder
+	if jsonhttp.Read(w, r, &o) {
+		e, err := p.Order(r.Context(), o)
+		jsonhttp.Answer(w, e, err)
+	}
+}
+
+func (p *Provider) serveList(w http.ResponseWriter, r *http.Request) {
+	list, err := p.Provided(r.Context(), r.URL.Query().Get("pool"))
+	jsonhttp.Answer(w, list, err)
+}
+
+func (p *Provider) serveReturn(w http.ResponseWriter, r *http.Request) {
+	var c platform.ReturnCall
+	if jsonhttp.Read(w, r, &c) {
+		jsonhttp.Answer(w, struct{}{}, p.Return(r.Context(), c.OrderID, c.Fence, c.Issuer))
+	}
+}
+
+func (p *Provider) serveWithdraw(w http.ResponseWriter, r *http.Request) {
+	jsonhttp.Answer(w, struct{}{}, p.Withdraw(mux.Vars(r)["id"]))
+}
+
+func (p *Provider) serveFull(w http.ResponseWriter, r *http.Request) {
+	p.SetFull(mux.Vars(r)["domain"], r.Method == http.MethodPut)
+	jsonhttp.Write(w, struct{}{})
+}
