--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -22,9 +22,10 @@
 type Generation struct {
 	// ID is the request id; an engine treats a second one with the same id
 	// and a higher Resume as a resumption.
-	ID       string
-	Model    string
-	Adapter  string
+	ID      string
+	Model   string
+	Adapter string
+	// Priority orders the engine's queue; higher goes first.
 	Priority int
 	// Prompt is the text of the prompt; one token is four bytes of it, at
 	// least one (the engines' estimate, see Tokens).
--- /dev/null
+++ b/internal/platform/service_bench_test.go
@@ -0,0 +1,31 @@
+package platform_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/acacialink/acacialink/internal/platform"
+)
+
+// BenchmarkServiceCall compares a call on a reused connection with an
+// at-most-once call on a fresh one.
+func BenchmarkServiceCall(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer server.Close()
+	service := platform.NewHTTPService(server.URL, nil)
+	for name, idempotent := range map[string]bool{"reused": true, "fresh": false} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				_, err := service.Call(b.Context(), platform.ServiceRequest{
+					Method: http.MethodPost, Path: "/", Body: []byte("body"), Idempotent: idempotent,
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/acacialink/acacialink/internal/standin/engine"
+	"github.com/acacialink/acacialink/internal/standin/hostlist"
+	"github.com/acacialink/acacialink/internal/standin/kv"
+	"github.com/acacialink/acacialink/internal/standin/kvserver"
+	"github.com/acacialink/acacialink/internal/standin/provider"
+	"github.com/acacialink/acacialink/internal/standin/service"
+	"github.com/acacialink/acacialink/internal/standin/usagesink"
+	"github.com/acacialink/acacialink/internal/standin/weights"
+)
+
+// loopback is where a deployment listens by default.
+const loopback = "127.0.0.1"
+
+// Options configure a Deployment.
+type Options struct {
+	// IP is where the stand-ins listen, each on a free port; empty means
+	// 127.0.0.1.
+	IP        string
+	Store     kv.Options
+	Engines   []engine.Options
+	Services  []service.Options
+	Provider  provider.Options
+	UsageSink usagesink.Options
+	HostList  hostlist.Options
+	Weights   weights.Options
+}
+
+// Instance is one running stand-in: its server with its URL, and its handle.
+type Instance[T any] struct {
+	*Server
+	Standin T
+}
+
+// Deployment is a set of stand-ins that listen in this process.
+type Deployment struct {
+	Store     Instance[*kv.Store]
+	Engines   []Instance[*engine.Engine]
+	Services  []Instance[*service.Service]
+	Provider  Instance[*provider.Provider]
+	UsageSink Instance[*usagesink.Sink]
+	HostList  Instance[*hostlist.List]
+	Weights   Instance[*weights.Store]
+
+	ip      string
+	servers []*Server
+}
+
+// Start starts all stand-ins. Engines load from the deployment's weight store
+// unless their options say otherwise.
+func Start(o Options) (*Deployment, error) {
+	if o.IP == "" {
+		o.IP = loopback
+	}
+	d := &Deployment{ip: o.IP}
+	if err := d.start(o); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(o Options) error {
+	steps := []func() error{
+		func() error { return d.startStore(o.Store) },
+		func() (err error) { d.Provider, err = listen(d, provider.New(o.Provider)); return err },
+		func() (err error) { d.UsageSink, err = listen(d, usagesink.New(o.UsageSink)); return err },
+		func() (err error) { d.HostList, err = listen(d, hostlist.New(o.HostList)); return err },
+		func() (err error) { d.Weights, err = listen(d, weights.New(o.Weights)); return err },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	for _, options := range o.Engines {
+		if _, err := d.AddEngine(options); err != nil {
+			return err
+		}
+	}
+	for _, options := range o.Services {
+		if _, err := d.AddService(options); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startStore(o kv.Options) error {
+	front := kvserver.New(kvserver.Options{StoreOptions: o})
+	i, err := listen(d, front)
+	d.Store = Instance[*kv.Store]{Server: i.Server, Standin: front.Store()}
+	return err
+}
+
+// AddEngine starts one more engine.
+func (d *Deployment) AddEngine(o engine.Options) (Instance[*engine.Engine], error) {
+	if o.LoadTime == nil {
+		o.LoadTime = d.Weights.Standin.Load
+	}
+	i, err := listen(d, engine.New(o))
+	if err == nil {
+		d.Engines = append(d.Engines, i)
+	}
+	return i, err
+}
+
+// AddService starts one more plain service.
+func (d *Deployment) AddService(o service.Options) (Instance[*service.Service], error) {
+	i, err := listen(d, service.New(o))
+	if err == nil {
+		d.Services = append(d.Services, i)
+	}
+	return i, err
+}
+
+// Close stops all stand-ins at once.
+func (d *Deployment) Close() {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	if d.Store.Standin != nil {
+		d.Store.Standin.Close()
+	}
+}
+
+// handled is a stand-in that serves HTTP.
+type handled interface {
+	Handler() http.Handler
+}
+
+func listen[T handled](d *Deployment, standin T) (Instance[T], error) {
+	s, err := Listen(net.JoinHostPort(d.ip, "0"), standin.Handler())
+	if err != nil {
+		return Instance[T]{}, err
+	}
+	d.servers = append(d.servers, s)
+	return Instance[T]{Server: s, Standin: standin}, nil
+}
--- a/internal/standin/engine/order_test.go
+++ b/internal/standin/engine/order_test.go
@@ -77,3 +77,25 @@
 		is.Equal(load.Models, []string{"m"})
 	})
 }
+
+func TestHungEngineAnswersNothingUntilItGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := engine.New(engine.Options{Models: []string{"m"}})
+		running := background(e, generation("a", 100, 100))
+		time.Sleep(time.Second)
+		e.SetFaults(engine.Faults{Hung: true})
+		late := make(chan error, 1)
+		go func() { late <- e.Apply(t.Context(), roleOrder("o", 1, platform.RoleDecode)) }()
+		time.Sleep(time.Hour)
+		is.Equal(len(e.Record().Orders), 0)
+		select {
+		case <-running:
+			t.Fatal("a hung engine ended a generation")
+		default:
+		}
+		e.SetFaults(engine.Faults{})
+		is.NoErr((<-running).err)
+		is.NoErr(<-late)
+	})
+}
--- /dev/null
+++ b/internal/standin/kvserver/bench_test.go
@@ -0,0 +1,29 @@
+package kvserver_test
+
+import (
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/kv"
+	"github.com/acacialink/acacialink/internal/standin/kvserver"
+)
+
+func benchmarkWrites(b *testing.B, s platform.Store) {
+	for i := 0; b.Loop(); i++ {
+		if _, err := s.CompareAndSwap(b.Context(), strconv.Itoa(i), 0, []byte("value"), 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkCompareAndSwap measures one write in process and over HTTP.
+func BenchmarkCompareAndSwap(b *testing.B) {
+	b.Run("direct", func(b *testing.B) { benchmarkWrites(b, kv.New(kv.Options{})) })
+	b.Run("http", func(b *testing.B) {
+		server := httptest.NewServer(kvserver.New(kvserver.Options{}).Handler())
+		defer server.Close()
+		benchmarkWrites(b, platform.NewHTTPStore(server.URL, nil))
+	})
+}
