--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -25,6 +25,7 @@
 	addSettings(app)
 	addCerts(app)
 	addDump(app)
+	addStandin(app)
 	addVersion(app)
 	command, err := app.Parse(args)
 	if err == nil {
--- /dev/null
+++ b/cmd/acacialink/standin.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/acacialink/acacialink/internal/exit"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin"
+)
+
+func addStandin(app *kingpin.Application) {
+	var o standin.NamedOptions
+	command := app.Command("standin", "Run a stand-in for a service of the platform, for tests and trials.")
+	name := command.Arg("name", "One of "+strings.Join(standin.Names(), ", ")+".").Required().String()
+	address := command.Flag("listen", "IP address and port; port 0 takes a free one.").Default("127.0.0.1:0").String()
+	command.Flag("name", "Name of an engine or a service.").StringVar(&o.Name)
+	command.Flag("model", "Model that an engine has loaded; may be repeated.").StringsVar(&o.Models)
+	command.Flag("adapter", "Adapter (MODEL/ADAPTER) that an engine has loaded; may be repeated.").StringsVar(&o.Adapters)
+	command.Flag("role", "Role of an engine.").Default(string(platform.RoleMixed)).StringVar((*string)(&o.Role))
+	command.Flag("checks-fencing", "Refuse old fencing numbers.").BoolVar(&o.ChecksFencing)
+	command.Flag("writes", "Writes a second of the store, 0 for no limit.").Float64Var(&o.WritesPerSecond)
+	command.Flag("reads", "Reads a second of the store, 0 for no limit.").Float64Var(&o.ReadsPerSecond)
+	command.Flag("seed", "Seed of its random faults.").Uint64Var(&o.Seed)
+	command.Action(func(*kingpin.ParseContext) error { return runStandin(*name, *address, o) })
+}
+
+func runStandin(name, address string, o standin.NamedOptions) error {
+	handler, err := standin.NewNamed(name, o)
+	if err != nil {
+		return failed(exit.Usage, err)
+	}
+	ctx, stop := untilStopped()
+	defer stop()
+	server, err := standin.Listen(address, handler)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s listens on %s\n", name, server.Address())
+	<-ctx.Done()
+	return server.Close()
+}
--- /dev/null
+++ b/internal/demo/run.go
@@ -0,0 +1,86 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/opsclient"
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/settings"
+)
+
+// Options configure a demo.
+type Options struct {
+	// Callers is the IP address and port of the first entry host's callers'
+	// listener; the other listeners take free ports.
+	Callers string
+	// Load is the number of callers at work at a time; zero for none.
+	Load int
+	// Interval is the time between two lines of figures.
+	Interval time.Duration
+	// Out takes what the demo prints, Log the processes' logs.
+	Out io.Writer
+	Log *slog.Logger
+}
+
+// startLimit bounds the start of the demo.
+const startLimit = 30 * time.Second
+
+// Run runs the demo until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	resources, err := opsclient.ParseResources(examples.FestivalResources)
+	if err != nil {
+		return errors.Wrap(err, "resources")
+	}
+	base := settings.DefaultEntry()
+	base.Region = "vltava"
+	base.Timeouts.DrainNotice = 0
+	base.Member.HostList = settings.Duration(time.Second)
+	site, err := NewSite(ctx, resources, base, o.Log)
+	if err != nil {
+		return err
+	}
+	var g errgroup.Group
+	g.Go(func() error { return site.Run(ctx) })
+	if err := site.configure(ctx, resources); err != nil {
+		return errors.Wrap(err, "configure")
+	}
+	printWelcome(o.Out, site)
+	load := newLoad(site)
+	for i := range o.Load {
+		g.Go(func() error { load.caller(ctx, i); return nil })
+	}
+	g.Go(func() error { load.report(ctx, o.Out, o.Interval); return nil })
+	return g.Wait()
+}
+
+// configure declares the resources over the operators' API and waits until
+// they are in force.
+func (s *Site) configure(ctx context.Context, resources []resource.Resource) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	o := opsclient.Options{Token: OperatorToken, Wait: startLimit}
+	for _, e := range s.Entries {
+		o.Addresses = append(o.Addresses, "http://"+e.OperatorAddr())
+	}
+	return opsclient.ApplyResources(ctx, o, resources, io.Discard)
+}
+
+func printWelcome(out io.Writer, s *Site) {
+	address := s.Entries[0].CallerAddr()
+	keys := examples.FestivalKeys()
+	fmt.Fprintf(out, "acacialink demo: %d entry hosts, %d agents\n\n", len(s.Entries), len(s.Agents))
+	for _, e := range s.Entries {
+		fmt.Fprintf(out, "callers http://%s   operators http://%s\n", e.CallerAddr(), e.OperatorAddr())
+	}
+	fmt.Fprintf(out, "operator token: %s\n\n", OperatorToken)
+	fmt.Fprintf(out, "Send a request:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", address, keys["residents"])
+	fmt.Fprintf(out, "    -d '{\"model\":\"lantern\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"A float for two?\"}]}'\n\n")
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,8 +15,10 @@
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/fleet"
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/once"
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
+	"github.com/acacialink/acacialink/internal/quota"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
@@ -36,6 +38,8 @@
 	router      *route.Router
 	fleet       *fleet.Fleet
 	queues      *entry.Queues
+	quota       *quota.Limiter
+	claims      *once.Claims
 	callers     *entry.Server
 	peers       *rpc.Server
 	rpcStats    rpc.Stats
@@ -56,6 +60,8 @@
 	}
 	e.buildConfig(source)
 	e.buildFleet(source)
+	e.buildQuota()
+	e.claims = once.New(e.store, once.Options{})
 	e.callers = entry.New(e.callerOptions())
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterPeer(mux, e); err != nil {
@@ -124,7 +130,10 @@
 		Config:   e.config,
 		Router:   e.router,
 		Sessions: e.fleet,
+		Quota:    quotaGate{e.quota},
 		Queue:    e.queues,
+		Claims:   e.claims,
+		Usage:    noUsage{},
 		Limits: entry.Limits{
 			BodyBytes:    s.Limits.BodyBytes,
 			PromptBytes:  s.Limits.PromptBytes,
@@ -212,6 +221,7 @@
 		e.config.Run,
 		e.followConfig,
 		e.followCapacity,
+		e.runQuota,
 	}
 }
 
