resource: all faults at once with field paths, references and one form for specs

Cause: the operators' API must answer everything that is wrong with a file in one answer, and tell an unchanged resource from a changed one. Change: each spec decodes field by field, checks itself and lists its references; Normalize gives specs one form. Ruled out: encoding/json's strict decoder on the whole spec, which stops at the first fault.

--- /dev/null
+++ b/internal/resource/validate.go
@@ -0,0 +1,70 @@
+package resource
+
+import (
+	"encoding/json"
+	"regexp"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// MaxSpecBytes bounds a spec.
+const MaxSpecBytes = 64 << 10
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+
+const nameRule = "must be 1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends"
+
+// ErrKind means that a kind of resource is not known.
+var ErrKind = errors.New("unknown kind of resource")
+
+// ParseKind returns the kind that the text names.
+func ParseKind(text string) (Kind, error) {
+	if k := Kind(text); slices.Contains(Kinds(), k) {
+		return k, nil
+	}
+	return "", errors.Wrapf(ErrKind, "%q", text)
+}
+
+// Normalize returns the resource with its spec in the form in which it is
+// held, and all its faults. References to other resources are not checked.
+func Normalize(r Resource) (Resource, Faults) {
+	c := &checker{}
+	s := newSpec(r.Kind)
+	if s == nil {
+		c.add("kind", "must be one of %v", Kinds())
+		return r, c.faults
+	}
+	c.require(namePattern.MatchString(r.Name), "name", nameRule)
+	c.require(r.Kind != KindPolicy || r.Name == PolicyName, "name", "the only policy is %q", PolicyName)
+	if len(r.Spec) > MaxSpecBytes {
+		c.add("spec", "is larger than %d bytes", MaxSpecBytes)
+		return r, c.faults
+	}
+	decodeFields(r.Spec, s, c)
+	if len(c.faults) == 0 || allNames(c.faults) {
+		s.check(c)
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		c.add("spec", "%s", err.Error())
+	}
+	r.Spec = text
+	r.Status = nil
+	return r, c.faults
+}
+
+// allNames says whether the fields themselves could be read.
+func allNames(f Faults) bool {
+	return !slices.ContainsFunc(f, func(fault Fault) bool { return fault.Path != "name" })
+}
+
+// References returns the resources that the resource names. A resource that
+// cannot be read names none.
+func References(r Resource) []Reference {
+	s := newSpec(r.Kind)
+	if s == nil || json.Unmarshal(r.Spec, s) != nil {
+		return nil
+	}
+	return s.references()
+}
