--- /dev/null
+++ b/internal/opsapi/planner.go
@@ -0,0 +1,168 @@
+package opsapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/snapshot"
+)
+
+// Result says what a change did to one resource.
+type Result struct {
+	Kind resource.Kind `json:"kind"`
+	Name string        `json:"name"`
+	// Action is "created", "updated", "unchanged", "deleted" or "revoked".
+	Action string `json:"action"`
+	// Generation and Revision are the resource's own after the change.
+	Generation int64             `json:"generation"`
+	Revision   resource.Revision `json:"revision"`
+	// Secret is the new key, shown this once.
+	Secret string `json:"secret,omitempty"`
+}
+
+// planner turns intents into one change on a view. It has no effects.
+type planner struct {
+	view      *snapshot.View
+	change    snapshot.Change
+	results   []Result
+	faults    resource.Faults
+	conflicts []Conflict
+	hashes    map[string]string
+}
+
+// plan returns the change and what it does, or a *refusal that names all that
+// is wrong. single is true for a request of one resource, whose paths have no
+// prefix.
+func plan(v *snapshot.View, intents []intent, single bool) (snapshot.Change, []Result, error) {
+	p := &planner{view: v, hashes: map[string]string{}}
+	seen := map[string]bool{}
+	for i, in := range intents {
+		faults := p.add(in)
+		if seen[in.id()] {
+			faults = append(faults, resource.Fault{Path: "name", Message: in.id() + " stands twice"})
+		}
+		seen[in.id()] = true
+		p.addFaults(faults, i, single)
+	}
+	if len(p.faults) > 0 {
+		return snapshot.Change{}, nil, refuseFaults(p.faults)
+	}
+	if single && len(p.conflicts) > 0 && p.conflicts[0].Current == 0 {
+		return snapshot.Change{}, nil, refuse(http.StatusNotFound, "not_found", "there is no such resource")
+	}
+	if len(p.conflicts) > 0 {
+		return snapshot.Change{}, nil, refuseConflicts(p.conflicts)
+	}
+	if err := p.checkReferences(intents, single); err != nil {
+		return snapshot.Change{}, nil, err
+	}
+	return p.change, p.results, nil
+}
+
+func (p *planner) addFaults(faults resource.Faults, index int, single bool) {
+	if !single {
+		faults = faults.Under(fmt.Sprintf("items[%d]", index))
+	}
+	p.faults = append(p.faults, faults...)
+}
+
+// add plans one intent.
+func (p *planner) add(in intent) resource.Faults {
+	old, exists := p.view.Get(in.resource.Kind, in.resource.Name)
+	if !p.expected(in, old, exists) {
+		return nil
+	}
+	if in.action == actionDelete {
+		return p.remove(in, old)
+	}
+	r := in.resource
+	secret, faults := p.prepareKey(&r, in.secret, old, exists)
+	if len(faults) > 0 {
+		return faults
+	}
+	r, faults = resource.Normalize(r)
+	if len(faults) > 0 {
+		return faults
+	}
+	if !exists && p.view.Count(r.Kind) >= maxResources {
+		return resource.Faults{{Path: "kind", Message: fmt.Sprintf("there are %d resources of the kind already", maxResources)}}
+	}
+	p.put(r, old, exists, secret)
+	return nil
+}
+
+// expected notes a conflict unless the resource is as the intent expects it.
+func (p *planner) expected(in intent, old resource.Resource, exists bool) bool {
+	ok := true
+	switch in.action {
+	case actionCreate:
+		ok = !exists
+	case actionUpdate, actionDelete:
+		ok = exists && (in.expect == 0 || in.expect == old.Revision)
+	case actionApply:
+		ok = in.expect == 0 || in.expect == old.Revision
+	}
+	if !ok {
+		p.conflicts = append(p.conflicts, Conflict{Kind: in.resource.Kind, Name: in.resource.Name, Expected: in.expect, Current: old.Revision})
+	}
+	return ok
+}
+
+func (p *planner) put(r, old resource.Resource, exists bool, secret string) {
+	result := Result{Kind: r.Kind, Name: r.Name, Action: "created", Secret: secret}
+	if exists {
+		result.Action = "updated"
+	}
+	if exists && string(r.Spec) == string(old.Spec) {
+		result.Action = "unchanged"
+		result.Generation, result.Revision = old.Generation, old.Revision
+		p.results = append(p.results, result)
+		return
+	}
+	r.Generation = old.Generation + 1
+	r.Revision = p.view.Revision() + 1
+	result.Generation, result.Revision = r.Generation, r.Revision
+	p.change.Items = append(p.change.Items, snapshot.Item{Resource: r})
+	p.results = append(p.results, result)
+}
+
+// remove deletes a resource. A key is revoked and stays, so that neither an
+// old file nor an old hash makes it valid again.
+func (p *planner) remove(in intent, old resource.Resource) resource.Faults {
+	if old.Kind == resource.KindKey {
+		return p.revoke(old)
+	}
+	p.change.Items = append(p.change.Items, snapshot.Item{Resource: old, Deleted: true})
+	result := Result{Kind: in.resource.Kind, Name: in.resource.Name, Action: "deleted", Generation: old.Generation, Revision: p.view.Revision() + 1}
+	p.results = append(p.results, result)
+	return nil
+}
+
+func (p *planner) revoke(old resource.Resource) resource.Faults {
+	spec, err := keySpec(old)
+	if err != nil {
+		return resource.Faults{{Path: "spec", Message: err.Error()}}
+	}
+	spec.Revoked = true
+	r := old
+	r.Spec, err = json.Marshal(spec)
+	if err != nil {
+		return resource.Faults{{Path: "spec", Message: err.Error()}}
+	}
+	p.put(r, old, true, "")
+	last := &p.results[len(p.results)-1]
+	if last.Action == "updated" {
+		last.Action = "revoked"
+	}
+	return nil
+}
+
+func keySpec(r resource.Resource) (resource.KeySpec, error) {
+	var spec resource.KeySpec
+	err := json.Unmarshal(r.Spec, &spec)
+	return spec, errors.Wrap(err, "read key")
+}
--- /dev/null
+++ b/internal/opsapi/status.go
@@ -0,0 +1,39 @@
+package opsapi
+
+import (
+	"context"
+	"strings"
+
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/snapshot"
+)
+
+// withStatus returns the resource with its conditions.
+func (s *server) withStatus(ctx context.Context, r resource.Resource) resource.Resource {
+	spread := s.o.Configuration.Spread(ctx, r.Revision)
+	status := &resource.Status{ObservedGeneration: r.Generation, Conditions: []resource.Condition{inForce(spread)}}
+	if s.o.Conditions != nil {
+		status.Conditions = append(status.Conditions, s.o.Conditions(r)...)
+	}
+	r.Status = status
+	return r
+}
+
+// inForce says whether every live entry host uses the resource as it is.
+func inForce(spread snapshot.Spread) resource.Condition {
+	c := resource.Condition{Type: resource.ConditionInForce, Status: spread.InForce, Since: spread.Since}
+	switch {
+	case spread.InForce:
+		c.Reason = "Confirmed"
+	case !spread.Accepted:
+		c.Reason = "NotAccepted"
+		c.Message = "waiting until a majority of the voters holds it"
+	case len(spread.Waiting) > 0:
+		c.Reason = "HostsWaiting"
+		c.Message = "waiting for " + strings.Join(spread.Waiting, ", ")
+	default:
+		c.Reason = "Spreading"
+		c.Message = "waiting until every host holds it or has lost its freshness"
+	}
+	return c
+}
--- a/internal/snapshot/log.go
+++ b/internal/snapshot/log.go
@@ -38,8 +38,11 @@
 	log   *slog.Logger
 }
 
-// NewLog returns the log that the store holds.
+// NewLog returns the log that the store holds. A nil logger logs nothing.
 func NewLog(store platform.Store, log *slog.Logger) *Log {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
 	return &Log{store: store, log: log}
 }
 
--- a/internal/snapshot/route.go
+++ b/internal/snapshot/route.go
@@ -46,3 +46,18 @@
 	rest, ok := strings.CutPrefix(path, prefix)
 	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
 }
+
+// RoutesAt returns the names of other routes with the prefix of the given one.
+func (v *View) RoutesAt(r resource.Resource) []string {
+	spec, err := decodeSpec[resource.RouteSpec](r)
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, other := range v.routes {
+		if other.spec.Prefix == spec.Prefix && other.name != r.Name {
+			names = append(names, other.name)
+		}
+	}
+	return names
+}
--- a/internal/snapshot/tracker.go
+++ b/internal/snapshot/tracker.go
@@ -46,6 +46,8 @@
 	InForce bool
 	// Waiting names live hosts that have not confirmed the revision.
 	Waiting []string
+	// Since is when this host learnt of the acceptance; zero before.
+	Since time.Time
 }
 
 func (h *Holder) noteAccepted(revision resource.Revision) {
@@ -77,15 +79,15 @@
 // Spread says how far the revision has come. It asks the other hosts at most
 // once each askInterval, and not at all once the revision is in force by time.
 func (h *Holder) Spread(ctx context.Context, revision resource.Revision) Spread {
-	if h.inForceByTime(revision) {
-		return Spread{Accepted: true, InForce: true}
+	if since, ok := h.inForceByTime(revision); ok {
+		return Spread{Accepted: true, InForce: true, Since: since}
 	}
 	live := h.o.Directory()
 	h.askHosts(ctx, live)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var s Spread
-	_, s.Accepted = h.tracker.acceptedAt(revision)
+	at, accepted := h.tracker.acceptedAt(revision)
+	s := Spread{Accepted: accepted, Since: at.at}
 	if len(live) > maxAskedHosts {
 		return s
 	}
@@ -100,11 +102,11 @@
 
 // inForceByTime is true when every host that lacks the revision has lost its
 // freshness since it was accepted.
-func (h *Holder) inForceByTime(revision resource.Revision) bool {
+func (h *Holder) inForceByTime(revision resource.Revision) (since time.Time, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at, ok := h.tracker.acceptedAt(revision)
-	return ok && at.age(h.o.Clock.now()) >= FreshFor+InForceMargin
+	return at.at, ok && at.age(h.o.Clock.now()) >= FreshFor+InForceMargin
 }
 
 // askHosts asks the hosts what they hold. An acceptance counts only answers
