demo, node: the whole path in one process

Cause: a newcomer needs one command that answers real requests. Change: package node assembles entry hosts and agents from settings, package demo starts a festival deployment with stand-ins, declares its resources over the operators' API and sends a sample load. Ruled out: child processes for the demo.

--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -26,6 +26,8 @@
 	addCerts(app)
 	addDump(app)
 	addStandin(app)
+	addDemo(app)
+	addOperators(app)
 	addVersion(app)
 	command, err := app.Parse(args)
 	if err == nil {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -42,6 +42,7 @@
 	base := settings.DefaultEntry()
 	base.Region = "vltava"
 	base.Timeouts.DrainNotice = 0
+	base.Listen.Callers = o.Callers
 	base.Member.HostList = settings.Duration(time.Second)
 	site, err := NewSite(ctx, resources, base, o.Log)
 	if err != nil {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"log/slog"
 	"net"
 
@@ -76,7 +77,7 @@
 	o := s.base
 	o.Name = "entry-" + domain
 	o.Domain = domain
-	o.Listen = settings.EntryListen{Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	o.Listen = settings.EntryListen{Callers: s.callerAddress(), Operators: anyPort, Peers: anyPort}
 	o.Operators = []settings.Operator{operator()}
 	o.Platform = settings.Platform{
 		Store:     s.Deployment.Store.URL(),
@@ -98,6 +99,14 @@
 	return nil
 }
 
+// callerAddress is the fixed address for the first entry host.
+func (s *Site) callerAddress() string {
+	if len(s.Entries) == 0 && s.base.Listen.Callers != "" {
+		return s.base.Listen.Callers
+	}
+	return anyPort
+}
+
 // anyPort takes a free port of the loopback interface.
 const anyPort = "127.0.0.1:0"
 
@@ -109,9 +118,9 @@
 // addEndpoint starts the endpoint's stand-in and agent, and writes the
 // agent's address into the resource.
 func (s *Site) addEndpoint(ctx context.Context, r *resource.Resource) error {
-	spec, err := resource.Decode[resource.EndpointSpec](*r)
-	if err != nil {
-		return err
+	var spec resource.EndpointSpec
+	if err := json.Unmarshal(r.Spec, &spec); err != nil {
+		return errors.Wrap(err, "endpoint spec")
 	}
 	url, err := s.startStandin(r.Name, spec)
 	if err != nil {
@@ -135,8 +144,8 @@
 	}
 	s.Agents = append(s.Agents, a)
 	spec.Agent = a.Addr()
-	r.Spec, err = resource.Encode(spec)
-	return err
+	r.Spec, err = json.Marshal(spec)
+	return errors.Wrap(err, "endpoint spec")
 }
 
 func (s *Site) startStandin(name string, spec resource.EndpointSpec) (string, error) {
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/opsapi"
 )
 
 // callerServer serves callers. It bounds headers in size and time.
@@ -27,9 +28,23 @@
 		return nil, errors.Wrap(err, "operators")
 	}
 	root, _ := observe.NewOperatorMux(e.registry, authenticator, &e.draining)
+	root.PathPrefix("/v1/").Handler(opsapi.New(opsapi.Options{
+		Configuration: e.config,
+		Operators:     e.apiOperators(),
+		Host:          e.settings.Name,
+		Logger:        e.log,
+	}))
 	return &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, nil
 }
 
+func (e *Entry) apiOperators() []opsapi.Operator {
+	operators := make([]opsapi.Operator, 0, len(e.settings.Operators))
+	for _, o := range e.settings.Operators {
+		operators = append(operators, opsapi.Operator{Name: o.Name, TokenSHA256: o.TokenSHA256})
+	}
+	return operators
+}
+
 // drain makes a planned stop: the host says that it is not ready, goes on
 // serving while the balancer takes notice, and then lets running requests end.
 // Connections are kept until then, since a request may be on its way.
--- a/internal/opsclient/command.go
+++ b/internal/opsclient/command.go
@@ -21,6 +21,11 @@
 	if err != nil {
 		return err
 	}
+	return ApplyResources(ctx, o, list, out)
+}
+
+// ApplyResources is Apply for resources that are not in a file.
+func ApplyResources(ctx context.Context, o Options, list []resource.Resource, out io.Writer) error {
 	var answer opsapi.ChangeAnswer
 	if err := o.call(ctx, http.MethodPost, "/v1/apply", list, &answer); err != nil {
 		return err
