--- a/cmd/acacialink/demo.go
+++ b/cmd/acacialink/demo.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"log/slog"
 	"os"
 	"time"
@@ -29,10 +28,9 @@
 		timer := time.AfterFunc(duration, stop)
 		defer timer.Stop()
 	}
-	var out io.Writer = io.Discard
+	o.Log = slog.New(slog.DiscardHandler)
 	if logs {
-		out = os.Stderr
+		o.Log = slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	}
-	o.Log = slog.New(slog.NewJSONHandler(out, nil))
 	return demo.Run(ctx, o)
 }
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/acacialink/acacialink/internal/resource"
@@ -62,11 +63,11 @@
 }
 
 // carriesKey says whether the key stands in what an endpoint would receive.
-func (c Caller) carriesKey(body []byte, uri string, header http.Header) bool {
+func (c Caller) carriesKey(body []byte, target *url.URL, header http.Header) bool {
 	if c.key == "" {
 		return false
 	}
-	if bytes.Contains(body, []byte(c.key)) || strings.Contains(uri, c.key) {
+	if bytes.Contains(body, []byte(c.key)) || c.standsIn(target) {
 		return true
 	}
 	for _, values := range header {
@@ -78,3 +79,17 @@
 	}
 	return false
 }
+
+// standsIn says whether the key stands in a path or query, encoded or not.
+func (c Caller) standsIn(target *url.URL) bool {
+	query, err := url.QueryUnescape(target.RawQuery)
+	if err != nil {
+		query = ""
+	}
+	for _, part := range []string{target.Path, target.RawQuery, query} {
+		if strings.Contains(part, c.key) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if caller.carriesKey(body, r.RequestURI, nil) {
+	if caller.carriesKey(body, r.URL, nil) {
 		return nil, errKeyInBody
 	}
 	c, err := parseCompletion(body, chat)
--- a/internal/entry/completion_test.go
+++ b/internal/entry/completion_test.go
@@ -19,11 +19,11 @@
 func TestStreamedCompletionIsWhole(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, map[string]agent.Options{"engine-1": {Engine: newEngine(time.Millisecond)}})
-	response, body, err := s.do(t, http.MethodPost, "/v1/chat/completions", testKey, chatBody("hello", 50, true))
-	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusOK)
-	is.Equal(response.Header.Get(verdict.Header), "ran")
-	got := parseStream(t, body)
+	a := s.post(t, "/v1/chat/completions", testKey, chatBody("hello", 50, true))
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.header.Get(verdict.Header), "ran")
+	got := parseStream(t, a.body)
 	is.True(got.done)
 	is.Equal(got.text, engine.ExpectedText(testModel, "", promptOf("hello"), 50))
 }
@@ -31,9 +31,9 @@
 func TestWholeCompletionCountsTokens(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, map[string]agent.Options{"engine-1": {Engine: newEngine(time.Millisecond)}})
-	response, body, err := s.do(t, http.MethodPost, "/v1/completions", testKey, `{"model":"`+testModel+`","prompt":"abcdefgh","max_tokens":7}`)
-	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusOK)
+	a := s.post(t, "/v1/completions", testKey, `{"model":"`+testModel+`","prompt":"abcdefgh","max_tokens":7}`)
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
 	var answer struct {
 		Choices []struct {
 			Text string `json:"text"`
@@ -43,7 +43,7 @@
 			CompletionTokens int `json:"completion_tokens"`
 		} `json:"usage"`
 	}
-	is.NoErr(json.Unmarshal(body, &answer))
+	is.NoErr(json.Unmarshal(a.body, &answer))
 	is.Equal(answer.Choices[0].Text, engine.ExpectedText(testModel, "", "abcdefgh", 7))
 	is.Equal(answer.Usage.PromptTokens, 2)
 	is.Equal(answer.Usage.CompletionTokens, 7)
@@ -59,9 +59,9 @@
 		}
 		engines[busiest(s)].SetFaults(engine.Faults{Crashed: true})
 	}()
-	_, body, err := s.do(t, http.MethodPost, "/v1/chat/completions", testKey, chatBody("resume me", 400, true))
-	is.NoErr(err)
-	got := parseStream(t, body)
+	a := s.post(t, "/v1/chat/completions", testKey, chatBody("resume me", 400, true))
+	is.NoErr(a.err)
+	got := parseStream(t, a.body)
 	is.True(got.done)
 	is.Equal(got.text, engine.ExpectedText(testModel, "", promptOf("resume me"), 400))
 	is.True(s.server.Stats().Resumed.Load() >= 1)
@@ -88,9 +88,9 @@
 		left <- s.agents[name].agent.Drain(context.Background())
 		s.agents[name].stop()
 	}()
-	_, body, err := s.do(t, http.MethodPost, "/v1/chat/completions", testKey, chatBody("drain", 300, true))
-	is.NoErr(err)
-	got := parseStream(t, body)
+	a := s.post(t, "/v1/chat/completions", testKey, chatBody("drain", 300, true))
+	is.NoErr(a.err)
+	got := parseStream(t, a.body)
 	is.True(got.done)
 	is.Equal(got.text, engine.ExpectedText(testModel, "", promptOf("drain"), 300))
 	is.Equal(<-left, 0)
@@ -119,14 +119,14 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			response, body, err := s.do(t, http.MethodPost, c.path, c.key, c.body)
-			is.NoErr(err)
-			is.Equal(response.StatusCode, c.status)
-			is.Equal(response.Header.Get(verdict.Header), "not-run")
+			a := s.post(t, c.path, c.key, c.body)
+			is.NoErr(a.err)
+			is.Equal(a.status, c.status)
+			is.Equal(a.header.Get(verdict.Header), "not-run")
 			var e entry.ErrorBody
-			is.NoErr(json.Unmarshal(body, &e))
+			is.NoErr(json.Unmarshal(a.body, &e))
 			is.Equal(e.Error.Code, c.code)
-			is.Equal(e.Error.RequestID, response.Header.Get("X-Request-Id"))
+			is.Equal(e.Error.RequestID, a.header.Get("X-Request-Id"))
 		})
 	}
 	is := is.New(t)
@@ -146,10 +146,10 @@
 		s.agents["engine-1"].stop()
 		<-ctx.Done()
 	}()
-	response, body, err := s.do(t, http.MethodPost, "/v1/chat/completions", testKey, chatBody("broken", 2000, true))
-	is.Equal(response.StatusCode, http.StatusOK)
-	is.True(err != nil)
-	got := parseStream(t, body)
+	a := s.post(t, "/v1/chat/completions", testKey, chatBody("broken", 2000, true))
+	is.Equal(a.status, http.StatusOK)
+	is.True(a.err != nil)
+	got := parseStream(t, a.body)
 	is.True(!got.done)
 	is.True(got.error != "")
 	is.Equal(s.server.Stats().Truncated.Load(), int64(1))
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -54,7 +54,7 @@
 		return
 	}
 	header := forwardedHeader(r.Header)
-	if caller.carriesKey(body, r.RequestURI, header) || caller.carriesKey(nil, r.URL.Path+"?"+r.URL.RawQuery, nil) {
+	if caller.carriesKey(body, r.URL, header) {
 		s.fail(w, r, errKeyInBody)
 		return
 	}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -228,7 +228,16 @@
 	return engine.New(engine.Options{Models: []string{testModel}, Step: step, PerSequence: time.Nanosecond, PrefillRate: 1e7, LoadLag: time.Millisecond})
 }
 
-func (s *site) do(tb testing.TB, method, path, key, body string, header ...string) (*http.Response, []byte, error) {
+// answer is a response that was read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	// err is set when the answer was cut.
+	err error
+}
+
+func (s *site) do(tb testing.TB, method, path, key, body string, header ...string) answer {
 	tb.Helper()
 	r, err := http.NewRequestWithContext(tb.Context(), method, s.url+path, strings.NewReader(body))
 	if err != nil {
@@ -245,8 +254,13 @@
 		tb.Fatal(err)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	return response, answer, err
+	read, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: read, err: err}
+}
+
+func (s *site) post(tb testing.TB, path, key, body string, header ...string) answer {
+	tb.Helper()
+	return s.do(tb, http.MethodPost, path, key, body, header...)
 }
 
 // streamed is what a caller saw of an answer by server-sent events.
