quota: the base part is owned by slots without a lease

Cause: leases lapse in a store outage, and no workspace may fall to zero then. Change: Slots, an Ownership from one record in the store. Ruled out: slots under long leases (an outage of hours outlasts them).

--- /dev/null
+++ b/internal/quota/slotstore.go
@@ -0,0 +1,96 @@
+package quota
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+)
+
+// write swaps the table in the store and reads it back.
+func (s *Slots) write(ctx context.Context, t SlotTable, expect platform.Revision) error {
+	value, err := json.Marshal(t)
+	if err != nil {
+		return errors.Wrap(err, "encode slot table")
+	}
+	writeCtx, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	if _, err := s.config.Store.CompareAndSwap(writeCtx, SlotKey, expect, value, 0); err != nil {
+		return errors.Wrap(err, "write slot table")
+	}
+	return s.read(ctx)
+}
+
+// read takes the table from the store.
+func (s *Slots) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	kv, err := s.config.Store.Get(ctx, SlotKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrap(err, "read slot table")
+	}
+	s.setStale(false)
+	return s.adopt(kv)
+}
+
+// follow adopts each version of the table that the store's watch reports.
+func (s *Slots) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		after, err := s.list(ctx)
+		for err == nil {
+			after, err = s.watch(ctx, after)
+		}
+		_ = sleep(ctx, slotRetry)
+	}
+}
+
+// list adopts the table and returns the revision to watch from.
+func (s *Slots) list(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	items, revision, err := s.config.Store.List(ctx, SlotKey)
+	if err != nil {
+		return 0, errors.Wrap(err, "list slot table")
+	}
+	for _, kv := range items {
+		if err := s.adopt(kv); err != nil {
+			return 0, err
+		}
+	}
+	return revision, nil
+}
+
+// watch waits for changes after the revision and adopts them.
+func (s *Slots) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, slotWatch+slotTimeout)
+	defer cancel()
+	events, revision, err := s.config.Store.Watch(ctx, SlotKey, after, slotWatch)
+	if err != nil {
+		return 0, errors.Wrap(err, "watch slot table")
+	}
+	for _, e := range events {
+		if err := s.adopt(e.KeyValue); err != nil {
+			return 0, err
+		}
+	}
+	return revision, nil
+}
+
+// adopt takes a version of the table unless it is older than the one known.
+func (s *Slots) adopt(kv platform.KeyValue) error {
+	var t SlotTable
+	if kv.Key != SlotKey || len(kv.Value) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(kv.Value, &t); err != nil {
+		return errors.Wrap(err, "decode slot table")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kv.Revision > s.revision {
+		s.table, s.revision = t, kv.Revision
+	}
+	return nil
+}
