audit: one checker a promise over the stand-ins' records

Fault runs need a judge that does not trust the processes under test. The audit reads only what stand-ins, callers and operators recorded, and gives for each of the thirteen promises what it examined and what it found, so that an empty run proves nothing. Assertions in the processes were ruled out: a process wrong about its authority asserts wrongly too. The engine's record says now whether a generation was started, and the host list keeps its changes.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,123 @@
+package audit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/audit"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/engine"
+	"github.com/acacialink/acacialink/internal/standin/hostlist"
+	"github.com/acacialink/acacialink/internal/standin/provider"
+	"github.com/acacialink/acacialink/internal/standin/service"
+	"github.com/acacialink/acacialink/internal/standin/usagesink"
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// good is a record in which every promise is examined and holds.
+func good() *audit.Record {
+	seed := engine.Seed("m", "", "prompt")
+	r := &audit.Record{
+		Keys: []audit.Key{
+			{Name: "a", Secret: "secret-a", Workspace: "wa"},
+			{Name: "b", Secret: "secret-b", Workspace: "wb", RevokedAt: at(50)},
+		},
+		Workspaces: []audit.Workspace{{Name: "wa", RateTokens: 10, BurstTokens: 200}},
+		OnceRoutes: []string{"/pay"},
+		Changes:    []audit.ConfigChange{{Revision: 2, AcceptedAt: at(10)}},
+		Seen: []audit.ConfigSeen{
+			{Process: "e1", At: at(11), Revision: 1},
+			{Process: "e1", At: at(14), Revision: 2},
+		},
+		Planned: []audit.Planned{{Window: audit.Window{Start: at(0), End: at(60)}, Target: "e1", Stop: true}},
+	}
+	r.Requests = []audit.Request{
+		{
+			ID: "g1", Key: "a", Generation: true, Entry: "e1", Seed: seed, Status: 200, Complete: true,
+			Sent: at(1), Done: at(2), Text: engine.TextOf(seed, 5),
+		},
+		{
+			ID: "p1", Key: "b", Entry: "e1", Path: "/pay", IdempotencyKey: "k", BodyHash: 7, Sent: at(3), Done: at(4),
+			Status: 200, Complete: true, AnswerID: "p1", AnswerBodyHash: 7,
+		},
+		{ID: "n1", Key: "a", Entry: "e1", Sent: at(5), Done: at(6), Status: 503, Verdict: "not-run", Complete: true},
+	}
+	r.Engines = []engine.Record{{
+		Name: "m1",
+		Generations: []engine.GenerationRecord{{
+			ID: "g1", Prompt: seed, Start: at(1), End: at(2), Started: true, Outcome: "length",
+			PromptTokens: 100, OutputTokens: 5, Header: map[string][]string{"X-Request-Id": {"g1"}},
+		}},
+		Orders: []engine.OrderRecord{
+			order("o1", 3, "e1", at(1), 0), order("o2", 4, "e2", at(20), 3),
+		},
+	}}
+	r.Services = []service.Record{{Name: "s1", Calls: []service.Call{{
+		At: at(3.5), RequestID: "p1", IdempotencyKey: "k", Path: "/pay", Run: 1, BodyHash: 7,
+	}}}}
+	r.Provider = provider.Record{Orders: []provider.Order{providerOrder(3, "e1", 3), providerOrder(4, "e2", 4)}}
+	r.Usage = []usagesink.Report{usage("1", 3, "e1"), usage("1", 4, "e2")}
+	r.Hosts = []hostlist.Change{{
+		At: at(0), Host: platform.Host{Name: "s1", State: platform.HostLeaving},
+	}}
+	return r
+}
+
+func order(id string, fence int64, issuer string, from time.Time, highest int64) engine.OrderRecord {
+	return engine.OrderRecord{
+		Order: platform.Order{ID: id, Fence: fence, Issuer: issuer},
+		Start: from, End: from.Add(time.Second), Result: "done", HighestFence: highest,
+	}
+}
+
+func providerOrder(fence int64, issuer string, highest int64) provider.Order {
+	return provider.Order{
+		EndpointOrder: platform.EndpointOrder{Fence: fence, Issuer: issuer},
+		Result:        "done", HighestFence: highest,
+	}
+}
+
+func usage(body string, fence int64, issuer string) usagesink.Report {
+	return usagesink.Report{UsageReport: platform.UsageReport{
+		Window: "w", Fence: fence, Issuer: issuer, Body: []byte(body),
+	}}
+}
+
+func TestGoodRecordKeepsAllPromises(t *testing.T) {
+	is := is.New(t)
+	for _, result := range audit.Check(good(), audit.DefaultBounds()) {
+		is.Equal(result.Findings, nil)
+		is.True(result.Examined > 0)
+	}
+}
+
+// TestEachCheckerFindsBadRecords makes one thing wrong in a good record and
+// asks which promises are broken by it.
+func TestEachCheckerFindsBadRecords(t *testing.T) {
+	for _, c := range badRecords {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := good()
+			c.spoil(r)
+			found := false
+			for _, result := range audit.Broken(audit.Check(r, audit.DefaultBounds())) {
+				found = found || result.Promise == c.promise
+			}
+			is.True(found)
+		})
+	}
+}
+
+func TestEachPromiseHasABadRecord(t *testing.T) {
+	is := is.New(t)
+	covered := make(map[audit.Promise]bool)
+	for _, c := range badRecords {
+		covered[c.promise] = true
+	}
+	is.Equal(len(covered), len(audit.Check(good(), audit.DefaultBounds())))
+	is.Equal(len(covered), 13)
+}
--- /dev/null
+++ b/internal/audit/fetch.go
@@ -0,0 +1,27 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Fetch reads the record of the stand-in at the base URL into v, for example
+// an engine.Record.
+func Fetch(ctx context.Context, base string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/record", nil)
+	if err != nil {
+		return errors.Wrap(err, "record")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "record")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("record of %s: status %d", base, resp.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), "record")
+}
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -11,7 +11,7 @@
 	ID      string `json:"id"`
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
-	// Prompt identifies the prompt: the hash of model, adapter and prompt.
+	// Prompt is the Seed of model, adapter and prompt.
 	Prompt   uint64 `json:"prompt"`
 	Priority int    `json:"priority"`
 	Resume   int    `json:"resume"`
@@ -21,6 +21,8 @@
 	CachedTokens int       `json:"cached_tokens"`
 	Start        time.Time `json:"start"`
 	End          time.Time `json:"end,omitzero"`
+	// Started is true once the engine has begun to work on it.
+	Started bool `json:"started,omitempty"`
 	// Refused is the reason when the engine did not accept it.
 	Refused string `json:"refused,omitempty"`
 	// Outcome is "stop", "length" or the error once it has ended.
@@ -82,6 +84,7 @@
 		r.End = time.Now()
 		r.OutputTokens = s.next
 		r.CachedTokens = s.cached
+		r.Started = s.started
 		r.Outcome = s.reason
 		if err != nil {
 			r.Outcome = err.Error()
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -42,7 +42,7 @@
 func (e *Engine) newSequence(g platform.Generation) *sequence {
 	s := &sequence{
 		request:  g,
-		seed:     answerSeed(g.Model, g.Adapter, g.Prompt),
+		seed:     Seed(g.Model, g.Adapter, g.Prompt),
 		prompt:   platform.Tokens(g.Prompt),
 		prefixes: platform.PrefixHashes(g.Model, g.Prompt),
 		next:     g.Resume,
--- a/internal/standin/engine/token.go
+++ b/internal/standin/engine/token.go
@@ -22,8 +22,8 @@
 trail tulip valley velvet village vine violet walnut water wave weir wharf
 willow wind winter wood wool workshop wren yard yarrow yew`)
 
-// answerSeed identifies the answer to a prompt.
-func answerSeed(model, adapter, prompt string) uint64 {
+// Seed identifies the answer to a prompt.
+func Seed(model, adapter, prompt string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	for _, part := range []string{model, adapter, prompt} {
@@ -45,12 +45,16 @@
 // ExpectedToken returns the text of one token of the answer to a prompt, the
 // same from every engine, so that a resumed answer can be checked.
 func ExpectedToken(model, adapter, prompt string, index int) string {
-	return tokenText(answerSeed(model, adapter, prompt), index)
+	return tokenText(Seed(model, adapter, prompt), index)
 }
 
 // ExpectedText returns the first n tokens of the answer to a prompt.
 func ExpectedText(model, adapter, prompt string, n int) string {
-	seed := answerSeed(model, adapter, prompt)
+	return TextOf(Seed(model, adapter, prompt), n)
+}
+
+// TextOf returns the first n tokens of the answer with the seed.
+func TextOf(seed uint64, n int) string {
 	var text strings.Builder
 	for i := range n {
 		text.WriteString(tokenText(seed, i))
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -14,6 +14,7 @@
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
+	"github.com/acacialink/acacialink/internal/standin/record"
 	"github.com/gorilla/mux"
 )
 
@@ -29,6 +30,7 @@
 type List struct {
 	lag      time.Duration
 	switches *fault.Switch
+	changes  record.Log[Change]
 
 	// mu guards all below.
 	mu    sync.Mutex
@@ -37,6 +39,16 @@
 	past []version
 }
 
+// Change is one change of the list.
+type Change struct {
+	At time.Time `json:"at"`
+	platform.Host
+	Removed bool `json:"removed,omitempty"`
+}
+
+// Record returns the changes since the start.
+func (l *List) Record() []Change { return l.changes.All() }
+
 type version struct {
 	at    time.Time
 	hosts []platform.Host
@@ -59,6 +71,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts[h.Name] = h
+	l.changes.Add(Change{At: time.Now(), Host: h})
 	l.keep()
 }
 
@@ -66,6 +79,7 @@
 func (l *List) Remove(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.changes.Add(Change{At: time.Now(), Host: l.hosts[name], Removed: true})
 	delete(l.hosts, name)
 	l.keep()
 }
@@ -109,6 +123,9 @@
 		l.Remove(mux.Vars(req)["name"])
 		jsonhttp.Write(w, struct{}{})
 	}).Methods(http.MethodDelete)
+	r.HandleFunc("/record", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, l.Record())
+	}).Methods(http.MethodGet)
 	return r
 }
 
