entry, agent: run a prompt at one endpoint and its answer at another

Cause: the router can name two endpoints where a split pays, but nothing moved the KV cache; sending it through entry hosts would put 17 GB/s on each at the target (6,300 GB/s over 370). Change: the entry asks the answering endpoint's agent to fetch the cache straight from the other agent, in chunks, on its own connection with mutual TLS; when that fails one endpoint does both. Ruled out: export to and import from the entry. Conclusion: no KV cache byte crosses an entry host.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,8 @@
 	Incarnation string
 	Engine      platform.Engine
 	Service     platform.Service
+	// KV fetches KV caches from other agents; nil refuses to.
+	KV KVSource
 	// Orders decides about orders; nil refuses all.
 	Orders Orders
 	// MaxInFlight bounds the requests of all sessions together.
--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -13,7 +13,7 @@
 
 // Handle answers one request of a session.
 func (a *Agent) Handle(ctx context.Context, m *wire.EntryMessage, r *rpc.Responder) {
-	if refusal := a.refuse(m); refusal != "" {
+	if refusal := a.begin(); refusal != "" {
 		a.stats.Refused.Add(1)
 		r.Fail(verdict.New(verdict.NotRun, 503, refusal, "the endpoint takes no new work"))
 		return
@@ -24,25 +24,13 @@
 		a.generate(ctx, m.RequestId, body.Generate, r)
 	case *wire.EntryMessage_Call:
 		a.call(ctx, m.RequestId, body.Call, r)
-	case *wire.EntryMessage_Export:
-		a.export(ctx, m.RequestId, r)
-	case *wire.EntryMessage_Import:
-		a.importKV(ctx, body.Import, r)
+	case *wire.EntryMessage_Pull:
+		a.pull(ctx, m.RequestId, body.Pull, r)
 	default:
 		r.Fail(verdict.New(verdict.NotRun, 501, "unknown_message", "the agent does not know this kind of request"))
 	}
 }
 
-// refuse counts the request in, or returns why it is refused. A drain still
-// lets a KV cache out, since that ends running work sooner.
-func (a *Agent) refuse(m *wire.EntryMessage) string {
-	if m.GetExport() != nil {
-		a.inFlight.Add(1)
-		return ""
-	}
-	return a.begin()
-}
-
 // fail ends a request with the verdict that a platform error stands for.
 func (a *Agent) fail(r *rpc.Responder, err error) {
 	a.stats.Failed.Add(1)
--- /dev/null
+++ b/internal/agent/pull.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// KVSource fetches KV caches from other agents.
+type KVSource interface {
+	// FetchKV returns the KV cache of a request at the endpoint of the agent
+	// with the address.
+	FetchKV(ctx context.Context, address, endpoint, requestID string) ([]byte, error)
+}
+
+// pull imports a KV cache from another agent. It moves straight between the
+// two agents: it never passes through an entry host.
+func (a *Agent) pull(ctx context.Context, id string, m *wire.PullRequest, r *rpc.Responder) {
+	if a.opts.Engine == nil || a.opts.KV == nil {
+		r.Fail(verdict.Wrap(errNoEngine, verdict.NotRun, http.StatusServiceUnavailable, "not_an_engine", "the endpoint takes no KV cache"))
+		return
+	}
+	value, err := a.opts.KV.FetchKV(ctx, m.Agent, m.Endpoint, id)
+	if err != nil {
+		r.Fail(verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "kv_unavailable", "the KV cache could not be fetched"))
+		return
+	}
+	if err := a.opts.Engine.ImportKV(ctx, m.Handle, value); err != nil {
+		a.fail(r, err)
+		return
+	}
+	a.stats.Pulled.Add(int64(len(value)))
+	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Pulled{Pulled: &wire.Pulled{Handle: m.Handle, Bytes: int64(len(value))}}})
+}
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -12,4 +12,6 @@
 	Failed atomic.Int64
 	// Tokens counts tokens streamed from the engine.
 	Tokens atomic.Int64
+	// Pulled counts bytes of KV caches fetched from other agents.
+	Pulled atomic.Int64
 }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -35,6 +35,8 @@
 	delivered int
 	cached    int
 	finished  *wire.Finished
+	// kvHandle names the KV cache that was moved to the endpoint, empty for none.
+	kvHandle string
 	// mayHaveRun is set once an endpoint may have worked on the request.
 	mayHaveRun bool
 }
@@ -63,7 +65,7 @@
 	var last error
 	var resumeUntil time.Time
 	for attempt := 1; ; attempt++ {
-		flight, err := g.server.opts.Router.Pick(time.Now(), g.routeRequest())
+		flight, err := g.pick(ctx)
 		if err == nil {
 			err = g.attempt(ctx, flight)
 		}
@@ -163,6 +165,7 @@
 		Prompt:    g.prompt,
 		MaxTokens: int32(g.maxTokens),
 		Resume:    int32(g.delivered),
+		KvHandle:  g.kvHandle,
 		Workspace: g.caller.Workspace,
 	}}}
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -24,13 +24,19 @@
 
 // Router picks endpoints.
 type Router interface {
+	// Pick chooses an endpoint, or fails with a *verdict.Error that is not-run.
 	Pick(now time.Time, r *route.Request) (*route.Flight, error)
+	// Split chooses one endpoint for the prompt and one for the answer where
+	// that pays.
+	Split(now time.Time, r *route.Request) (prefill, decode *route.Flight, ok bool)
 }
 
 // Sessions gives access to endpoints' agents.
 type Sessions interface {
 	// Session returns the open session to an endpoint, or nil.
 	Session(endpoint string) *rpc.Session
+	// Agent returns the address of an endpoint's agent, empty when unknown.
+	Agent(endpoint string) string
 }
 
 // Quota keeps workspaces within their rates.
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -14,6 +14,9 @@
 	Retries, Resumed atomic.Int64
 	// Truncated counts streams that ended visibly broken.
 	Truncated atomic.Int64
+	// Split counts answers whose prompt ran at another endpoint, SplitFailed
+	// those where that failed and one endpoint did both.
+	Split, SplitFailed atomic.Int64
 	// Gone counts callers that left before the end of their answer.
 	Gone atomic.Int64
 	// Replayed counts answers given from an earlier run of the same call.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -35,12 +35,12 @@
 // NewAgent opens the listeners of an agent and returns it; Run serves.
 func NewAgent(ctx context.Context, s settings.Agent, source certs.Source, log *slog.Logger) (*Agent, error) {
 	a := &Agent{settings: s, log: log, registry: observe.NewRegistry(observe.Identity{Process: s.Name, Role: "agent", Domain: s.Domain})}
-	a.agent = agent.New(agentOptions(s))
+	a.agent = agent.New(agentOptions(s, source))
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterAgent(mux, a.agent); err != nil {
 		return nil, errors.Wrap(err, "register agent")
 	}
-	a.server = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry), agentRPC(s))
+	a.server = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry, certs.RoleAgent), agentRPC(s))
 	a.registry.RegisterState("agent", func() any { return a.agent.State() })
 	a.publish()
 	if err := a.listen(ctx); err != nil {
@@ -49,7 +49,7 @@
 	return a, nil
 }
 
-func agentOptions(s settings.Agent) agent.Options {
+func agentOptions(s settings.Agent, source certs.Source) agent.Options {
 	o := agent.Options{
 		Endpoint:     s.Name,
 		Domain:       s.Domain,
@@ -63,6 +63,12 @@
 		return o
 	}
 	o.Engine = platform.NewHTTPEngine(s.Endpoint.URL, nil)
+	o.KV = &rpc.KVFetcher{
+		Dialer: func(endpoint string) *rpc.Dialer {
+			return rpc.NewDialer(certs.ClientTLS(source, certs.RoleAgent, endpoint), agentRPC(s))
+		},
+		MaxBytes: int(s.Limits.KVBytes),
+	}
 	return o
 }
 
@@ -83,6 +89,7 @@
 	a.registry.NewGauge("calls", func() any { return stats.Calls.Load() })
 	a.registry.NewGauge("refused", func() any { return stats.Refused.Load() })
 	a.registry.NewGauge("failed", func() any { return stats.Failed.Load() })
+	a.registry.NewGauge("kv_bytes_pulled", func() any { return stats.Pulled.Load() })
 	a.registry.NewGauge("tokens", func() any { return stats.Tokens.Load() })
 }
 
--- a/internal/node/entrystate.go
+++ b/internal/node/entrystate.go
@@ -11,6 +11,8 @@
 		"retries":       stats.Retries.Load,
 		"resumed":       stats.Resumed.Load,
 		"truncated":     stats.Truncated.Load,
+		"split":         stats.Split.Load,
+		"split_failed":  stats.SplitFailed.Load,
 		"callers_gone":  stats.Gone.Load,
 		"replayed":      stats.Replayed.Load,
 		"open_requests": e.callers.Open,
