usage: windows sealed by compare-and-swap, figures counted once

Cause: three rivals share one bill, hosts keep nothing, and figures must neither change nor count twice. Change: hosts hand batches to the keeper of a shard each second and repeat them until they are in the store; one record a shard holds open windows and the last batch of each source, so a write of an old keeper fails and a repeat counts once; pages are fixed before the record names them; late figures are corrections. Ruled out: a record for each host and window, 370 writes a second at the target.

--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -31,6 +31,7 @@
 		a.fail(r, err)
 		return
 	}
+	a.stats.Prefilled.Add(int64(finish.PromptTokens - finish.CachedTokens))
 	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Finished{Finished: &wire.Finished{
 		Reason:       finish.Reason,
 		PromptTokens: int32(finish.PromptTokens),
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -58,6 +58,8 @@
 	state.WaitingPromptTokens = int64(load.WaitingPromptTokens)
 	state.FreePieces = int32(load.FreePieces)
 	state.TotalPieces = int32(load.TotalPieces)
+	state.PrefilledTokens = a.stats.Prefilled.Load()
+	state.GeneratedTokens = a.stats.Tokens.Load()
 	state.AgeUs = (load.Age + time.Since(a.report.received)).Microseconds()
 	for _, e := range a.report.events {
 		state.CacheEvents = append(state.CacheEvents, &wire.CacheEvent{Sequence: e.Sequence, Prefix: e.Prefix, Evicted: e.Evicted})
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -12,6 +12,9 @@
 	Failed atomic.Int64
 	// Tokens counts tokens streamed from the engine.
 	Tokens atomic.Int64
+	// Prefilled counts prompt tokens that the engine worked on; those that its
+	// cache served are not among them.
+	Prefilled atomic.Int64
 	// Pulled counts bytes of KV caches fetched from other agents.
 	Pulled atomic.Int64
 }
--- /dev/null
+++ b/internal/usage/keeper.go
@@ -0,0 +1,205 @@
+package usage
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+)
+
+// keeper keeps one shard while this host holds its lease.
+type keeper struct {
+	settings Settings
+	shard    int
+	host     string
+	store    platform.Store
+	sink     platform.UsageSink
+	marks    func() string
+	stats    *Stats
+
+	// mu guards pending and durable; the other fields belong to step.
+	mu      sync.Mutex
+	pending map[string]*wire.UsageBatch
+	// durable is the last batch of each source that the store holds; nil
+	// while this host does not keep the shard.
+	durable map[string]applied
+
+	flaws    flaws
+	fence    int64
+	record   *record
+	revision platform.Revision
+}
+
+// flaws break a keeper on purpose, for tests that must notice.
+type flaws struct {
+	// countsRepeats counts a batch each time it comes.
+	countsRepeats bool
+}
+
+// errLostShard means that another keeper has taken the shard over.
+var errLostShard = errors.New("usage shard is kept by another host")
+
+func (k *keeper) key() string { return fmt.Sprintf("usage/shard/%04d", k.shard) }
+
+func (k *keeper) pageKey(hash string) string {
+	return fmt.Sprintf("usage/page/%04d/%s", k.shard, hash)
+}
+
+// accept takes a batch and returns the sequence number of the last batch of
+// its source that is in the store.
+func (k *keeper) accept(b *wire.UsageBatch) *wire.UsageAck {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ack := &wire.UsageAck{Shard: b.Shard}
+	if k.durable == nil {
+		return ack
+	}
+	ack.Known = true
+	ack.Sequence = k.durable[b.Source].Sequence
+	if (b.Sequence > ack.Sequence || k.flaws.countsRepeats) && len(k.pending) < maxPending {
+		k.pending[b.Source] = b
+	}
+	return ack
+}
+
+// maxPending bounds the batches that wait for the store, one a source.
+const maxPending = 4096
+
+// step does what is due under the lease: load, write, seal, report. It returns
+// errLostShard once another keeper wrote the record.
+func (k *keeper) step(ctx context.Context, fence int64, now time.Time) error {
+	if k.record == nil || k.fence != fence {
+		if err := k.load(ctx, fence); err != nil {
+			return err
+		}
+	}
+	if err := k.write(ctx, now); err != nil {
+		return err
+	}
+	if err := k.seal(ctx, now); err != nil {
+		return err
+	}
+	return k.report(ctx)
+}
+
+// drop forgets the shard; batches that are not in the store are sent again by
+// their hosts to the next keeper.
+func (k *keeper) drop() {
+	k.mu.Lock()
+	k.pending = make(map[string]*wire.UsageBatch)
+	k.durable = nil
+	k.mu.Unlock()
+	k.record = nil
+}
+
+// load reads the record and writes this keeper's fencing number into it, so
+// that no write of an earlier keeper succeeds afterwards.
+func (k *keeper) load(ctx context.Context, fence int64) error {
+	k.drop()
+	r, revision, err := k.read(ctx)
+	if err != nil {
+		return err
+	}
+	if r.Fence > fence {
+		return errLostShard
+	}
+	k.fence = fence
+	k.record = r
+	k.revision = revision
+	next := r.clone()
+	next.Fence = fence
+	return k.swap(ctx, next)
+}
+
+func (k *keeper) read(ctx context.Context) (*record, platform.Revision, error) {
+	kv, err := k.store.Get(ctx, k.key())
+	if errors.Is(err, platform.ErrNotFound) {
+		return newRecord(), 0, nil
+	}
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read usage record")
+	}
+	r, err := decodeRecord(kv.Value)
+	return r, kv.Revision, err
+}
+
+// swap writes the next record over the current one. A lost answer is settled
+// by reading back: the write is recognised by its mark.
+func (k *keeper) swap(ctx context.Context, next *record) error {
+	next.Mark = k.marks()
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	revision, err := k.store.CompareAndSwap(ctx, k.key(), k.revision, value, 0)
+	if err != nil {
+		return k.settle(ctx, next, err)
+	}
+	k.installed(next, revision)
+	return nil
+}
+
+func (k *keeper) installed(next *record, revision platform.Revision) {
+	k.record = next
+	k.revision = revision
+	k.stats.Writes.Add(1)
+	k.mu.Lock()
+	k.durable = next.Applied
+	k.mu.Unlock()
+}
+
+// settle finds out what became of a write whose answer was an error.
+func (k *keeper) settle(ctx context.Context, next *record, cause error) error {
+	if errors.Is(cause, platform.ErrUnavailable) {
+		return errors.Wrap(cause, "write usage record")
+	}
+	r, revision, err := k.read(ctx)
+	if err != nil {
+		k.record = nil
+		return err
+	}
+	if r.Mark == next.Mark {
+		k.installed(next, revision)
+		return nil
+	}
+	k.record = nil
+	if r.Fence > k.fence {
+		return errLostShard
+	}
+	return errors.Wrap(cause, "write usage record")
+}
+
+// write adds the pending batches to the record.
+func (k *keeper) write(ctx context.Context, now time.Time) error {
+	k.mu.Lock()
+	batches := k.pending
+	k.pending = make(map[string]*wire.UsageBatch)
+	k.mu.Unlock()
+	if len(batches) == 0 {
+		return nil
+	}
+	next := k.record.clone()
+	current := k.current(now)
+	for source, b := range batches {
+		if b.Sequence <= next.Applied[source].Sequence && !k.flaws.countsRepeats {
+			continue
+		}
+		for _, e := range b.Entries {
+			key, f := lineOf(e)
+			next.add(key, f, current)
+		}
+		next.Applied[source] = applied{Sequence: b.Sequence, Window: current}
+	}
+	return k.swap(ctx, next)
+}
+
+// current is the window of now, and never one that is sealed.
+func (k *keeper) current(now time.Time) Window {
+	step := Window(k.settings.Window / time.Second)
+	return max(k.settings.windowAt(now), k.record.Watermark+step)
+}
--- /dev/null
+++ b/internal/usage/stats.go
@@ -0,0 +1,15 @@
+package usage
+
+import "sync/atomic"
+
+// Stats counts what a host's keepers did.
+type Stats struct {
+	// Writes counts writes of shard records.
+	Writes atomic.Int64
+	// Sealed counts windows, Reported pages.
+	Sealed, Reported atomic.Int64
+	// ReportFailures counts pages that the report interface did not take.
+	ReportFailures atomic.Int64
+	// Failures counts steps that ended early.
+	Failures atomic.Int64
+}
