--- a/internal/queue/core.go
+++ b/internal/queue/core.go
@@ -16,6 +16,7 @@
 	prefill     int64
 	longPrefill int64
 	pieces      int64
+	streams     int64
 	stats       Stats
 }
 
@@ -27,6 +28,8 @@
 	// PrefillTokens and Pieces are held by admitted requests.
 	PrefillTokens int64
 	Pieces        int64
+	// Streams counts admitted requests.
+	Streams int64
 }
 
 // NewCore returns an empty core without capacity.
@@ -141,6 +144,7 @@
 	e.State = Released
 	c.Prefilled(e)
 	c.pieces -= e.pieces
+	c.streams--
 	e.pieces = 0
 	e.lane.charge(e, outputCost*float64(outputTokens-e.OutputTokens))
 }
@@ -151,7 +155,7 @@
 	for i := range s.Waiting {
 		s.Waiting[i] = c.waiting(Class(i))
 	}
-	s.PrefillTokens, s.Pieces = c.prefill, c.pieces
+	s.PrefillTokens, s.Pieces, s.Streams = c.prefill, c.pieces, c.streams
 	return s
 }
 
@@ -160,7 +164,7 @@
 }
 
 func (c *Core) laneOf(i *Item) *lane {
-	if i.PromptTokens >= int64(c.settings.LongPrompt) {
+	if i.prefill() >= int64(c.settings.LongPrompt) {
 		return c.lanes[2*i.Class+1]
 	}
 	return c.lanes[2*i.Class]
--- a/internal/queue/core_test.go
+++ b/internal/queue/core_test.go
@@ -14,7 +14,7 @@
 var epoch = time.Unix(1000, 0)
 
 func testCapacity() Capacity {
-	return Capacity{PrefillTokens: 8000, Pieces: 100, PrefillRate: 10000, DecodeRate: 10000}
+	return Capacity{PrefillTokens: 8000, Pieces: 100, Streams: 12, PrefillRate: 10000, DecodeRate: 10000}
 }
 
 func newTestCore(change func(*Settings)) *Core {
@@ -227,6 +227,7 @@
 		Class:        Class(rapid.IntRange(0, 2).Draw(t, "class")),
 		PromptTokens: rapid.Int64Range(1, 20000).Draw(t, "prompt"),
 		OutputTokens: rapid.Int64Range(1, 5000).Draw(t, "output"),
+		CachedTokens: rapid.Int64Range(0, 20000).Draw(t, "cached"),
 	}
 }
 
@@ -246,6 +247,9 @@
 	if pieces > c.capacity.Pieces && holders > 1 {
 		t.Fatalf("%d pieces are held by %d entries", pieces, holders)
 	}
+	if c.capacity.Streams != 0 && (int64(holders) != c.streams || c.streams > c.capacity.Streams) {
+		t.Fatalf("%d streams are counted for %d entries", c.streams, holders)
+	}
 	if c.longPrefill > c.longLimit() {
 		t.Fatalf("long prompts hold %d", c.longPrefill)
 	}
--- a/internal/queue/dispatch.go
+++ b/internal/queue/dispatch.go
@@ -54,6 +54,9 @@
 	if l.long && c.longPrefill > 0 && c.longPrefill+prefill > c.longLimit() {
 		return fitsBehindLong
 	}
+	if c.capacity.Streams > 0 && c.streams >= c.capacity.Streams {
+		return fitsLater
+	}
 	if c.prefill > 0 && c.prefill+prefill > c.capacity.PrefillTokens {
 		return fitsLater
 	}
@@ -68,9 +71,9 @@
 // the rest.
 func (c *Core) prefillOf(l *lane, e *Entry) int64 {
 	if l.long {
-		return min(e.PromptTokens, c.longLimit())
+		return min(e.Item.prefill(), c.longLimit())
 	}
-	return e.PromptTokens
+	return e.Item.prefill()
 }
 
 func (c *Core) longLimit() int64 {
@@ -86,6 +89,7 @@
 	e.pieces = e.Item.pieces()
 	c.prefill += e.prefill
 	c.pieces += e.pieces
+	c.streams++
 	if l.long {
 		c.longPrefill += e.prefill
 	}
--- a/internal/queue/flow.go
+++ b/internal/queue/flow.go
@@ -38,7 +38,7 @@
 
 func (f *flow) count(e *Entry, sign int64) {
 	f.cost += sign * e.cost()
-	f.prefill += sign * e.PromptTokens
+	f.prefill += sign * e.Item.prefill()
 	f.output += sign * e.OutputTokens
 }
 
--- a/internal/queue/lane.go
+++ b/internal/queue/lane.go
@@ -134,6 +134,6 @@
 
 func (l *lane) count(e *Entry, sign int64) {
 	l.waiting += int(sign)
-	l.prefill += sign * e.PromptTokens
+	l.prefill += sign * e.Item.prefill()
 	l.output += sign * e.OutputTokens
 }
--- a/internal/queue/settings.go
+++ b/internal/queue/settings.go
@@ -5,7 +5,7 @@
 // Settings bound a queue.
 type Settings struct {
 	Classes [classCount]ClassSettings
-	// LongPrompt is the prompt length in tokens from which a request is long.
+	// LongPrompt is the prefill work in tokens from which a request is long.
 	LongPrompt int
 	// LongLimit is the part of the prefill capacity that long prompts may
 	// hold at a time, from 0 to 1.
@@ -37,6 +37,10 @@
 	// Pieces is the engine memory that admitted requests may need, in pieces
 	// of platform.PieceTokens tokens.
 	Pieces int64
+	// Streams is how many requests may be admitted at a time, so that the
+	// engines' batches stay small enough for the promised time between
+	// tokens; zero means no bound.
+	Streams int64
 	// PrefillRate and DecodeRate are the endpoints' speed in tokens a second.
 	PrefillRate int64
 	DecodeRate  int64
--- a/internal/queue/wait.go
+++ b/internal/queue/wait.go
@@ -45,7 +45,7 @@
 	} else {
 		flows++
 	}
-	own.add(work{i.PromptTokens, i.OutputTokens})
+	own.add(work{i.prefill(), i.OutputTokens})
 	return work{
 		prefill: min(all.prefill, own.prefill*flows),
 		output:  min(all.output, own.output*flows),
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -65,6 +65,16 @@
 	return best
 }
 
+// predict is the longest credit that any endpoint gives the request.
+func (p *Picker) predict(now time.Time, r *Request) int {
+	var matches [maxMatches]Match
+	best := 0
+	for _, m := range p.Affinity.lookup(now, r.Prefix, matches[:0]) {
+		best = max(best, p.credit(r, m))
+	}
+	return best
+}
+
 // credit is the part of the prompt that a predicted hit may save.
 func (p *Picker) credit(r *Request, m Match) int {
 	tokens := min(m.Tokens, r.PromptTokens, p.Costs.MaxPrefixTokens)
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -83,6 +83,17 @@
 	return r.start(now, req, d), nil
 }
 
+// Predict returns the prompt tokens that an endpoint's cache will probably
+// serve, as Pick would credit them; it chooses nothing.
+func (r *Router) Predict(now time.Time, req *Request) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.picker == nil {
+		return 0
+	}
+	return r.picker.predict(now, req)
+}
+
 // Split chooses two endpoints for the request's phases where that pays, and
 // counts both as Pick does. It returns false otherwise.
 func (r *Router) Split(now time.Time, req *Request) (prefill, decode *Flight, ok bool) {
