--- a/internal/role/decider.go
+++ b/internal/role/decider.go
@@ -18,6 +18,8 @@
 	paysFrom time.Time
 	// changed is when the last change was decided.
 	changed time.Time
+	// unready is since when each engine has not been ready.
+	unready map[string]time.Time
 	why     string
 }
 
@@ -25,7 +27,7 @@
 // has just taken over begins with a cooldown: it does not know when the last
 // change was made.
 func NewDecider(now time.Time, s Settings, c Capacity) *Decider {
-	return &Decider{settings: s, capacity: c, meter: newMeter(s), changed: now}
+	return &Decider{settings: s, capacity: c, meter: newMeter(s), changed: now, unready: make(map[string]time.Time)}
 }
 
 // Demand returns the demand as last measured.
@@ -38,7 +40,7 @@
 // At most one change is under way: it decides nothing while an engine is not
 // ready, or while a report is stale.
 func (d *Decider) Decide(now time.Time, engines []Engine) (Change, bool) {
-	engines = inService(engines)
+	engines = d.withoutFailed(now, inService(engines))
 	demand := d.meter.observe(now, engines)
 	if reason := d.blocked(now, engines); reason != "" {
 		return d.none(reason)
@@ -87,6 +89,31 @@
 	return ""
 }
 
+// failedAfter is how many change times an engine may be unready before it
+// counts as failed and no longer holds decisions up.
+const failedAfter = 3
+
+// withoutFailed leaves out engines that have been unready for longer than a
+// change can take.
+func (d *Decider) withoutFailed(now time.Time, engines []Engine) []Engine {
+	unready := make(map[string]time.Time)
+	kept := make([]Engine, 0, len(engines))
+	for _, e := range engines {
+		since, known := d.unready[e.Name]
+		if !e.Ready && !known {
+			since = now
+		}
+		if !e.Ready {
+			unready[e.Name] = since
+		}
+		if e.Ready || now.Sub(since) <= failedAfter*d.settings.ChangeTime {
+			kept = append(kept, e)
+		}
+	}
+	d.unready = unready
+	return kept
+}
+
 // inService leaves out engines that are on their way out.
 func inService(engines []Engine) []Engine {
 	kept := make([]Engine, 0, len(engines))
