record: one type for values changed by compare-and-swap

Cause: packages usage and control each read back lost answers by a writer mark, and orders would be the third. Change: record.Record holds a typed value, its revision and the marks; both packages use it and lost 90 lines. Ruled out: a generic retry loop, since each user decides anew on what another wrote.

--- a/internal/control/poolrecord.go
+++ b/internal/control/poolrecord.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/record"
 )
 
 // stage is how far an ordered endpoint is, as the store holds it.
@@ -40,86 +39,34 @@
 	Since time.Time `json:"since"`
 }
 
-// poolRecord is what the store holds of a pool's orders.
-type poolRecord struct {
+// poolOrders is what the store holds of a pool's orders.
+type poolOrders struct {
 	Fence  int64       `json:"fence"`
-	Mark   string      `json:"mark"`
 	Next   int64       `json:"next"`
 	Orders []poolOrder `json:"orders"`
 }
 
-func (r *poolRecord) clone() *poolRecord {
-	c := *r
-	c.Orders = slices.Clone(r.Orders)
-	return &c
+func (o poolOrders) clone() poolOrders {
+	o.Orders = slices.Clone(o.Orders)
+	return o
 }
 
-// errLostPiece means that another holder has written the record.
+// errLostPiece means that a later holder has written the record.
 var errLostPiece = errors.New("piece of control work is held by another host")
 
-// poolLog reads and writes one pool's record under a fencing number.
-type poolLog struct {
-	store    platform.Store
-	key      string
-	marks    func() string
-	fence    int64
-	record   *poolRecord
-	revision platform.Revision
-}
-
-// load reads the record and writes the fencing number into it, so that no
-// write of an earlier holder succeeds afterwards.
-func (l *poolLog) load(ctx context.Context, fence int64) error {
-	if l.record != nil && l.fence == fence {
+// claim loads the record, unless it is known, and writes the fencing number
+// into it, so that no write of an earlier holder succeeds afterwards.
+func claim(ctx context.Context, r *record.Record[poolOrders], fence int64) error {
+	if r.Known() && r.Value().Fence == fence {
 		return nil
 	}
-	l.record = nil
-	r, revision, err := l.read(ctx)
-	if err != nil {
+	if err := r.Load(ctx); err != nil {
 		return err
 	}
-	if r.Fence > fence {
+	if r.Value().Fence > fence {
 		return errLostPiece
 	}
-	l.fence = fence
-	l.revision = revision
-	return l.swap(ctx, r.clone())
-}
-
-func (l *poolLog) read(ctx context.Context) (*poolRecord, platform.Revision, error) {
-	kv, err := l.store.Get(ctx, l.key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return &poolRecord{}, 0, nil
-	}
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "read pool record")
-	}
-	r := &poolRecord{}
-	if err := json.Unmarshal(kv.Value, r); err != nil {
-		return nil, 0, errors.Wrap(err, "decode pool record")
-	}
-	return r, kv.Revision, nil
-}
-
-// swap writes the next record. A lost answer is settled by reading back; after
-// any other error the record is loaded again.
-func (l *poolLog) swap(ctx context.Context, next *poolRecord) error {
-	next.Fence = l.fence
-	next.Mark = l.marks()
-	value, err := json.Marshal(next)
-	if err != nil {
-		return errors.Wrap(err, "encode pool record")
-	}
-	revision, err := l.store.CompareAndSwap(ctx, l.key, l.revision, value, 0)
-	if err == nil {
-		l.record, l.revision = next, revision
-		return nil
-	}
-	l.record = nil
-	r, revision, readErr := l.read(ctx)
-	if readErr == nil && r.Mark == next.Mark {
-		l.record, l.revision = next, revision
-		return nil
-	}
-	return errors.Wrap(err, "write pool record")
+	next := r.Value().clone()
+	next.Fence = fence
+	return r.Swap(ctx, next)
 }
--- a/internal/control/pools.go
+++ b/internal/control/pools.go
@@ -4,12 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/pool"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
 
@@ -21,23 +20,21 @@
 
 // PoolOptions configure Pools.
 type PoolOptions struct {
-	Host string
-	// Incarnation differs for each start of the process.
-	Incarnation string
-	Leases      Leases
-	Config      Config
-	Agents      Agents
-	Provider    platform.Provider
-	Store       platform.Store
-	Settings    pool.Settings
-	Interval    time.Duration
-	Log         *slog.Logger
+	Host     string
+	Marks    *record.Marks
+	Leases   Leases
+	Config   Config
+	Agents   Agents
+	Provider platform.Provider
+	Store    platform.Store
+	Settings pool.Settings
+	Interval time.Duration
+	Log      *slog.Logger
 }
 
 // Pools orders and returns endpoints for the pools whose lease this host holds.
 type Pools struct {
 	opts   PoolOptions
-	marks  atomic.Int64
 	pools  map[string]*poolWork
 	states latest[pool.State]
 }
@@ -45,7 +42,7 @@
 // poolWork is this host's work on one pool while it holds the lease.
 type poolWork struct {
 	name    string
-	log     *poolLog
+	orders  *record.Record[poolOrders]
 	decider *pool.Decider
 	meter   *demandMeter
 }
@@ -95,12 +92,9 @@
 }
 
 func (p *Pools) newWork(name string) *poolWork {
-	mark := func() string {
-		return p.opts.Host + "/" + p.opts.Incarnation + "/" + strconv.FormatInt(p.marks.Add(1), 10)
-	}
 	return &poolWork{
 		name:    name,
-		log:     &poolLog{store: p.opts.Store, key: "control/pool/" + name, marks: mark},
+		orders:  record.New[poolOrders](p.opts.Store, "control/pool/"+name, p.opts.Marks),
 		decider: pool.NewDecider(p.opts.Settings),
 		meter:   newDemandMeter(),
 	}
@@ -108,7 +102,7 @@
 
 // reconcile moves each order on by a stage and then decides on one more action.
 func (p *Pools) reconcile(ctx context.Context, view *snapshot.View, w *poolWork, fence int64) error {
-	if err := w.log.load(ctx, fence); err != nil {
+	if err := claim(ctx, w.orders, fence); err != nil {
 		return err
 	}
 	provided, err := p.provided(ctx, w.name)
@@ -137,11 +131,11 @@
 // moveOrders brings every order one stage on where it can go on, and writes
 // the stages together.
 func (p *Pools) moveOrders(ctx context.Context, view *snapshot.View, w *poolWork, provided map[string]platform.ProvidedEndpoint, states []described) error {
-	next := w.log.record.clone()
+	next := w.orders.Value().clone()
 	next.Orders = next.Orders[:0]
 	changed := false
-	for _, o := range w.log.record.Orders {
-		m := &mover{pools: p, view: view, pool: w.name, fence: w.log.fence, provided: provided, states: states}
+	for _, o := range w.orders.Value().Orders {
+		m := &mover{pools: p, view: view, pool: w.name, fence: w.orders.Value().Fence, provided: provided, states: states}
 		to, keep, err := m.move(ctx, o)
 		if err != nil {
 			p.opts.Log.Warn("order not moved", "pool", w.name, "order", o.ID, "stage", string(o.Stage), "error", err.Error())
@@ -159,7 +153,7 @@
 	if !changed {
 		return nil
 	}
-	return w.log.swap(ctx, next)
+	return w.orders.Swap(ctx, next)
 }
 
 // decide writes the intent of the next order or return into the record.
@@ -170,7 +164,7 @@
 	if !ok {
 		return nil
 	}
-	next := w.log.record.clone()
+	next := w.orders.Value().clone()
 	if action.Order {
 		next.Next++
 		id := fmt.Sprintf("%s-%d", w.name, next.Next)
@@ -182,7 +176,7 @@
 		}
 	}
 	p.opts.Log.Info("pool decision", "pool", w.name, "order", action.Order, "domain", action.Domain, "endpoint", action.OrderID, "reason", action.Reason)
-	return w.log.swap(ctx, next)
+	return w.orders.Swap(ctx, next)
 }
 
 // endpointsOf is the pool as the decider sees it: the declared endpoints and
@@ -196,7 +190,7 @@
 	}
 	ordered := make(map[string]bool)
 	var list []pool.Endpoint
-	for _, o := range w.log.record.Orders {
+	for _, o := range w.orders.Value().Orders {
 		ordered[o.ID] = true
 		list = append(list, pool.Endpoint{
 			OrderID:  o.ID,
--- a/internal/control/pools_test.go
+++ b/internal/control/pools_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/pool"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -111,7 +112,7 @@
 	settings := pool.DefaultSettings()
 	settings.ReturnAfter = 2 * time.Minute
 	return NewPools(PoolOptions{
-		Host: host, Incarnation: "1", Leases: hostLeases{s, host}, Config: s.holder, Agents: s,
+		Host: host, Marks: record.NewMarks(host, "1"), Leases: hostLeases{s, host}, Config: s.holder, Agents: s,
 		Provider: lossy{s.provider, s}, Store: s.store, Settings: settings,
 		Interval: 5 * time.Second, Log: slog.New(slog.DiscardHandler),
 	})
@@ -201,7 +202,7 @@
 				s.demand = 0
 				s.run(t.Context(), hosts, 2*time.Hour, func() {})
 				known := make(map[string]bool)
-				for _, o := range hosts[1].pools["p"].log.record.Orders {
+				for _, o := range hosts[1].pools["p"].orders.Value().Orders {
 					known[o.ID] = true
 				}
 				for id := range s.billed(t) {
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,71 @@
+package record_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/record"
+	"github.com/acacialink/acacialink/internal/standin/kv"
+)
+
+func TestLostAnswerIsRecognised(t *testing.T) {
+	is := is.New(t)
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	r := record.New[int](store, "k", record.NewMarks("a", "1"))
+	is.NoErr(r.Load(t.Context()))
+	store.LoseNext(1)
+	is.NoErr(r.Swap(t.Context(), 7))
+	is.Equal(r.Value(), 7)
+	is.NoErr(r.Swap(t.Context(), 8))
+}
+
+func TestSecondWriterLoses(t *testing.T) {
+	is := is.New(t)
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	a := record.New[int](store, "k", record.NewMarks("a", "1"))
+	b := record.New[int](store, "k", record.NewMarks("b", "1"))
+	is.NoErr(a.Load(t.Context()))
+	is.NoErr(b.Load(t.Context()))
+	is.NoErr(a.Swap(t.Context(), 1))
+	err := b.Swap(t.Context(), 2)
+	is.True(errors.Is(err, platform.ErrConflict))
+	is.Equal(b.Value(), 1)
+	is.NoErr(b.Swap(t.Context(), 2))
+}
+
+// cutStore loses its connection after the next write took effect.
+type cutStore struct {
+	platform.Store
+	cut bool
+}
+
+func (s *cutStore) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	_, _ = s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	s.cut = true
+	return 0, platform.ErrUnknown
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	if s.cut {
+		return platform.KeyValue{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func TestUnsettledWriteIsUnknown(t *testing.T) {
+	is := is.New(t)
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	r := record.New[int](&cutStore{Store: store}, "k", record.NewMarks("a", "1"))
+	is.NoErr(r.Load(t.Context()))
+	err := r.Swap(t.Context(), 1)
+	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(!r.Known())
+	is.True(r.Swap(t.Context(), 2) != nil)
+}
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
@@ -19,7 +20,6 @@
 	host     string
 	store    platform.Store
 	sink     platform.UsageSink
-	marks    func() string
 	stats    *Stats
 
 	// mu guards pending and durable; the other fields belong to step.
@@ -29,10 +29,9 @@
 	// while this host does not keep the shard.
 	durable map[string]applied
 
-	flaws    flaws
-	fence    int64
-	record   *record
-	revision platform.Revision
+	flaws  flaws
+	fence  int64
+	record *record.Record[shardRecord]
 }
 
 // flaws break a keeper on purpose, for tests that must notice.
@@ -73,7 +72,7 @@
 // step does what is due under the lease: load, write, seal, report. It returns
 // errLostShard once another keeper wrote the record.
 func (k *keeper) step(ctx context.Context, fence int64, now time.Time) error {
-	if k.record == nil || k.fence != fence {
+	if !k.record.Known() || k.fence != fence {
 		if err := k.load(ctx, fence); err != nil {
 			return err
 		}
@@ -94,84 +93,37 @@
 	k.pending = make(map[string]*wire.UsageBatch)
 	k.durable = nil
 	k.mu.Unlock()
-	k.record = nil
+	k.record.Forget()
 }
 
 // load reads the record and writes this keeper's fencing number into it, so
 // that no write of an earlier keeper succeeds afterwards.
 func (k *keeper) load(ctx context.Context, fence int64) error {
 	k.drop()
-	r, revision, err := k.read(ctx)
-	if err != nil {
+	if err := k.record.Load(ctx); err != nil {
 		return err
 	}
-	if r.Fence > fence {
+	if k.record.Value().Fence > fence {
 		return errLostShard
 	}
 	k.fence = fence
-	k.record = r
-	k.revision = revision
-	next := r.clone()
+	next := k.record.Value().clone()
 	next.Fence = fence
 	return k.swap(ctx, next)
 }
 
-func (k *keeper) read(ctx context.Context) (*record, platform.Revision, error) {
-	kv, err := k.store.Get(ctx, k.key())
-	if errors.Is(err, platform.ErrNotFound) {
-		return newRecord(), 0, nil
-	}
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "read usage record")
-	}
-	r, err := decodeRecord(kv.Value)
-	return r, kv.Revision, err
-}
-
-// swap writes the next record over the current one. A lost answer is settled
-// by reading back: the write is recognised by its mark.
-func (k *keeper) swap(ctx context.Context, next *record) error {
-	next.Mark = k.marks()
-	value, err := next.encode()
-	if err != nil {
+// swap writes the next record over the current one. After an error the record
+// is loaded again.
+func (k *keeper) swap(ctx context.Context, next shardRecord) error {
+	if err := k.record.Swap(ctx, next); err != nil {
+		k.record.Forget()
 		return err
 	}
-	revision, err := k.store.CompareAndSwap(ctx, k.key(), k.revision, value, 0)
-	if err != nil {
-		return k.settle(ctx, next, err)
-	}
-	k.installed(next, revision)
-	return nil
-}
-
-func (k *keeper) installed(next *record, revision platform.Revision) {
-	k.record = next
-	k.revision = revision
 	k.stats.Writes.Add(1)
 	k.mu.Lock()
 	k.durable = next.Applied
 	k.mu.Unlock()
-}
-
-// settle finds out what became of a write whose answer was an error.
-func (k *keeper) settle(ctx context.Context, next *record, cause error) error {
-	if errors.Is(cause, platform.ErrUnavailable) {
-		return errors.Wrap(cause, "write usage record")
-	}
-	r, revision, err := k.read(ctx)
-	if err != nil {
-		k.record = nil
-		return err
-	}
-	if r.Mark == next.Mark {
-		k.installed(next, revision)
-		return nil
-	}
-	k.record = nil
-	if r.Fence > k.fence {
-		return errLostShard
-	}
-	return errors.Wrap(cause, "write usage record")
+	return nil
 }
 
 // write adds the pending batches to the record.
@@ -183,7 +135,7 @@
 	if len(batches) == 0 {
 		return nil
 	}
-	next := k.record.clone()
+	next := k.record.Value().clone()
 	current := k.current(now)
 	for source, b := range batches {
 		if b.Sequence <= next.Applied[source].Sequence && !k.flaws.countsRepeats {
@@ -201,5 +153,5 @@
 // current is the window of now, and never one that is sealed.
 func (k *keeper) current(now time.Time) Window {
 	step := Window(k.settings.Window / time.Second)
-	return max(k.settings.windowAt(now), k.record.Watermark+step)
+	return max(k.settings.windowAt(now), k.record.Value().Watermark+step)
 }
--- a/internal/usage/keepers.go
+++ b/internal/usage/keepers.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
@@ -20,13 +19,12 @@
 	stats    Stats
 }
 
-// NewKeepers returns the keepers of a host; source names it with its incarnation.
-func NewKeepers(s Settings, host, source string, owners Ownership, store platform.Store, sink platform.UsageSink) *Keepers {
+// NewKeepers returns the keepers of a host.
+func NewKeepers(s Settings, host string, marks *record.Marks, owners Ownership, store platform.Store, sink platform.UsageSink) *Keepers {
 	all := &Keepers{settings: s, owners: owners}
-	var writes atomic.Int64
-	marks := func() string { return source + "/" + strconv.FormatInt(writes.Add(1), 10) }
 	for shard := range s.Shards {
-		k := &keeper{settings: s, shard: shard, host: host, store: store, sink: sink, marks: marks, stats: &all.stats}
+		k := &keeper{settings: s, shard: shard, host: host, store: store, sink: sink, stats: &all.stats}
+		k.record = record.New[shardRecord](store, k.key(), marks)
 		k.drop()
 		all.keepers = append(all.keepers, k)
 	}
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -4,16 +4,12 @@
 	"encoding/json"
 	"maps"
 	"slices"
-
-	"github.com/pkg/errors"
 )
 
-// record is what the store holds of one shard.
-type record struct {
-	// Fence is the fencing number of the keeper that wrote it, Mark a mark
-	// that is unique to the write.
-	Fence int64  `json:"fence"`
-	Mark  string `json:"mark"`
+// shardRecord is what the store holds of one shard.
+type shardRecord struct {
+	// Fence is the fencing number of the keeper that wrote it.
+	Fence int64 `json:"fence"`
 	// Applied is the last batch of each source that the record holds.
 	Applied map[string]applied `json:"applied"`
 	// Open holds the figures of windows that are not sealed.
@@ -40,41 +36,32 @@
 	Reported int `json:"reported"`
 }
 
-// ErrRecord means that a shard's record cannot be read.
-var ErrRecord = errors.New("usage record cannot be read")
-
-func decodeRecord(value []byte) (*record, error) {
-	r := newRecord()
-	if err := json.Unmarshal(value, r); err != nil {
-		return nil, errors.Wrap(ErrRecord, err.Error())
+// UnmarshalJSON fills in the maps that an empty record lacks.
+func (r *shardRecord) UnmarshalJSON(value []byte) error {
+	type plain shardRecord
+	if err := json.Unmarshal(value, (*plain)(r)); err != nil {
+		return err
 	}
-	return r, nil
-}
-
-func newRecord() *record {
-	return &record{Applied: make(map[string]applied), Open: make(map[Window]lines)}
-}
-
-func (r *record) encode() ([]byte, error) {
-	value, err := json.Marshal(r)
-	return value, errors.Wrap(err, "encode usage record")
+	*r = r.clone()
+	return nil
 }
 
 // clone returns a copy that can be changed without changing r.
-func (r *record) clone() *record {
-	c := *r
-	c.Applied = maps.Clone(r.Applied)
+func (r shardRecord) clone() shardRecord {
+	c := r
+	c.Applied = make(map[string]applied, len(r.Applied))
+	maps.Copy(c.Applied, r.Applied)
 	c.Open = make(map[Window]lines, len(r.Open))
 	for w, l := range r.Open {
 		c.Open[w] = maps.Clone(l)
 	}
 	c.Sealed = slices.Clone(r.Sealed)
-	return &c
+	return c
 }
 
 // add counts figures of a window, as a correction in current, which is not
 // sealed, when the window is sealed already.
-func (r *record) add(key windowLine, f Figures, current Window) {
+func (r *shardRecord) add(key windowLine, f Figures, current Window) {
 	target := key.Window
 	k := lineKey{Line: key.Line}
 	if key.Window <= r.Watermark {
@@ -88,6 +75,6 @@
 }
 
 // forgetSources drops sources that sent nothing for long.
-func (r *record) forgetSources(before Window) {
+func (r *shardRecord) forgetSources(before Window) {
 	maps.DeleteFunc(r.Applied, func(_ string, a applied) bool { return a.Window < before })
 }
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -11,8 +11,8 @@
 // report gives sealed pages to the report interface, oldest first. A page is
 // reported again, byte for byte, until the interface has taken it.
 func (k *keeper) report(ctx context.Context) error {
-	for len(k.record.Sealed) > 0 {
-		next := k.record.Sealed[0]
+	for len(k.record.Value().Sealed) > 0 {
+		next := k.record.Value().Sealed[0]
 		if next.Reported < len(next.Pages) {
 			if err := k.reportPage(ctx, next); err != nil {
 				return err
@@ -52,8 +52,8 @@
 // noteReported counts the first page of the first sealed window as reported,
 // and forgets the window after its last.
 func (k *keeper) noteReported(ctx context.Context) error {
-	first := k.record.Sealed[0]
-	next := k.record.clone()
+	first := k.record.Value().Sealed[0]
+	next := k.record.Value().clone()
 	next.Sealed[0].Reported++
 	done := next.Sealed[0].Reported >= len(first.Pages)
 	if done {
--- a/internal/usage/seal.go
+++ b/internal/usage/seal.go
@@ -19,7 +19,7 @@
 // bytes.
 func (k *keeper) seal(ctx context.Context, now time.Time) error {
 	for _, w := range k.dueWindows(now) {
-		pages, err := encodePages(k.settings, k.shard, w, k.record.Open[w])
+		pages, err := encodePages(k.settings, k.shard, w, k.record.Value().Open[w])
 		if err != nil {
 			return err
 		}
@@ -30,7 +30,7 @@
 			}
 			hashes = append(hashes, p.hash)
 		}
-		next := k.record.clone()
+		next := k.record.Value().clone()
 		delete(next.Open, w)
 		next.Sealed = append(next.Sealed, sealed{Window: w, Pages: hashes})
 		next.Watermark = max(next.Watermark, w)
@@ -45,7 +45,7 @@
 
 func (k *keeper) dueWindows(now time.Time) []Window {
 	var due []Window
-	for w := range k.record.Open {
+	for w := range k.record.Value().Open {
 		if k.settings.due(w, now) {
 			due = append(due, w)
 		}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
@@ -73,7 +74,7 @@
 	source := fmt.Sprintf("%s/%d", name, incarnation)
 	o := ownership{s, name}
 	h := &host{name: name, recorder: NewRecorder(s.settings)}
-	h.keepers = NewKeepers(s.settings, name, source, o, s.store, s.sink)
+	h.keepers = NewKeepers(s.settings, name, record.NewMarks(name, fmt.Sprint(incarnation)), o, s.store, s.sink)
 	h.sender = NewSender(s.settings, name, source, h.recorder, o, s, h.keepers)
 	s.hosts[name] = h
 	return h
