--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -69,9 +69,9 @@
 	if err != nil {
 		return "", errors.Wrapf(err, "read %s", r.key)
 	}
-	var s stored[T]
-	if err := json.Unmarshal(kv.Value, &s); err != nil {
-		return "", errors.Wrapf(ErrDecode, "%s: %v", r.key, err)
+	s, err := decode[T](kv)
+	if err != nil {
+		return "", err
 	}
 	r.value, r.revision, r.known = s.Value, kv.Revision, true
 	return s.Mark, nil
@@ -112,3 +112,18 @@
 	}
 	return errors.Wrapf(platform.ErrConflict, "write %s", r.key)
 }
+
+// Decode returns the value that a key of the store holds, for one who reads it
+// and never writes it.
+func Decode[T any](kv platform.KeyValue) (T, error) {
+	s, err := decode[T](kv)
+	return s.Value, err
+}
+
+func decode[T any](kv platform.KeyValue) (stored[T], error) {
+	var s stored[T]
+	if err := json.Unmarshal(kv.Value, &s); err != nil {
+		return s, errors.Wrapf(ErrDecode, "%s: %v", kv.Key, err)
+	}
+	return s, nil
+}
