--- /dev/null
+++ b/internal/lease/piece.go
@@ -0,0 +1,28 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
+)
+
+// keyPrefix is where the store holds the pieces.
+const keyPrefix = "lease/"
+
+// piece is one piece that this host holds or is giving up.
+type piece struct {
+	name     string
+	revision platform.Revision
+	// lease is the lease that the key stands under.
+	lease platform.LeaseID
+	// leaving is when the host stopped using the piece, to release it later.
+	leaving   time.Time
+	isLeaving bool
+}
+
+// holder is the value of a piece's key.
+type holder struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Mark        string `json:"mark"`
+}
