--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -35,6 +35,8 @@
 	delivered int
 	cached    int
 	finished  *wire.Finished
+	// kvHandle names the KV cache that was moved to the endpoint, empty for none.
+	kvHandle string
 	// mayHaveRun is set once an endpoint may have worked on the request.
 	mayHaveRun bool
 }
@@ -63,7 +65,7 @@
 	var last error
 	var resumeUntil time.Time
 	for attempt := 1; ; attempt++ {
-		flight, err := g.server.opts.Router.Pick(time.Now(), g.routeRequest())
+		flight, err := g.pick(ctx)
 		if err == nil {
 			err = g.attempt(ctx, flight)
 		}
@@ -163,6 +165,7 @@
 		Prompt:    g.prompt,
 		MaxTokens: int32(g.maxTokens),
 		Resume:    int32(g.delivered),
+		KvHandle:  g.kvHandle,
 		Workspace: g.caller.Workspace,
 	}}}
 }
@@ -192,16 +195,14 @@
 
 // nextWithin waits for the next message for at most the given time.
 func nextWithin(ctx context.Context, call *rpc.Call, wait time.Duration) (*wire.AgentMessage, error) {
-	waitCtx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	m, err := call.Next(waitCtx)
+	m, err := call.NextWithin(ctx, wait)
 	if err == nil {
 		return m, nil
 	}
 	if ctx.Err() != nil {
 		return nil, errCallerGone
 	}
-	if waitCtx.Err() != nil {
+	if errors.Is(err, rpc.ErrWait) {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, http.StatusGatewayTimeout, "endpoint_silent", "the endpoint sent nothing in time")
 	}
 	return nil, err
