quota: tokens are consumed when the request is sent

Cause: a request that waits in a queue after its reservation reaches its engine later, and the bucket had filled on top of it meanwhile. Ruled out: reserving after the queue (an over-rate workspace would fill it).

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -39,6 +39,8 @@
 	amount  int64
 	// pending is what a settlement may give back.
 	pending int64
+	// started holds are consumed.
+	started bool
 }
 
 // balance is what may be reserved now.
@@ -54,19 +56,29 @@
 // does not use is not worth the messages of giving it back.
 func (a *account) ample() bool { return a.burst > 0 && a.level >= a.burst/2 }
 
-// reserve takes amount tokens, of which certain are spent for good.
-func (a *account) reserve(now time.Time, amount, certain int64) *hold {
-	h := &hold{account: a, amount: amount, pending: amount - certain}
-	a.used += certain
-	a.pending += h.pending
+// reserve takes amount tokens; all of them are pending.
+func (a *account) reserve(now time.Time, amount int64) *hold {
+	h := &hold{account: a, amount: amount, pending: amount}
+	a.pending += amount
 	a.lastUse = now
 	a.trim()
-	if h.pending > 0 {
-		a.holds = append(a.holds, h)
-	}
+	a.holds = append(a.holds, h)
 	return h
 }
 
+// start spends the certain share of the hold, or all of it where giving back
+// is not worth the messages.
+func (h *hold) start(certain float64) {
+	h.started = true
+	spent := min(h.pending, int64(float64(h.amount)*certain))
+	if h.account.ample() {
+		spent = h.pending
+	}
+	h.pending -= spent
+	h.account.pending -= spent
+	h.account.used += spent
+}
+
 // settle spends up to tokens of what the hold has pending, gives the rest
 // back to the balance and returns how much it spent.
 func (h *hold) settle(tokens int64) int64 {
@@ -77,9 +89,13 @@
 	return spent
 }
 
-// reclaim declares up to tokens of the oldest pending ones spent.
+// reclaim declares up to tokens of the oldest pending ones spent. Tokens that
+// are not consumed yet stay as they are.
 func (a *account) reclaim(tokens int64) {
 	for _, h := range a.holds {
+		if !h.started {
+			continue
+		}
 		n := min(tokens, h.pending)
 		h.pending -= n
 		a.pending -= n
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -67,13 +67,18 @@
 		return false
 	}
 	a := w.accounts[p]
-	if a == nil || a.owner != host || a.fence != fence || a.expired(now) {
+	if a == nil || !a.with(host, fence) || a.expired(now) {
 		h.nextID++
 		w.accounts[p] = &account{part: p, owner: host, fence: fence, id: h.nextID, lastUse: now}
 	}
 	return true
 }
 
+// with says whether the account is with that owner; a fence of zero is not known.
+func (a *account) with(host string, fence int64) bool {
+	return a.owner == host && (a.fence == fence || a.fence == 0 || fence == 0)
+}
+
 // expired says whether the account was granted tokens and has ended.
 func (a *account) expired(now time.Time) bool {
 	return !a.expires.IsZero() && !now.Before(a.expires)
@@ -114,7 +119,7 @@
 		w.failed[a.part] = now.Add(failedTime)
 		return
 	}
-	if g.GetAccount() != a.id || g.GetFence() != a.fence || ask.late(now, g, h.settings) {
+	if g.GetAccount() != a.id || ask.late(now, g, h.settings) {
 		return
 	}
 	if g.GetError() != "" {
@@ -124,12 +129,16 @@
 		}
 		return
 	}
+	if a.fence != 0 && a.fence != g.GetFence() {
+		return
+	}
 	if a.expired(now) {
 		// The owner may have counted its tokens as spent: no later answer
 		// may bring them back.
 		w.accounts[a.part] = nil
 		return
 	}
+	a.fence = g.GetFence()
 	a.take(ask, g, h.settings)
 	a.level, a.levelAt = g.GetLevelTokens(), now
 	a.reclaim(g.GetReclaimTokens())
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -52,7 +52,8 @@
 	return w
 }
 
-// Reserve takes the tokens from the balances, all or none.
+// Reserve takes the tokens from the balances, all or none. They count as still
+// in the bucket until Start.
 func (h *Holder) Reserve(now time.Time, workspace string, tokens int64) (*Reservation, bool) {
 	w := h.holding(workspace)
 	if w == nil || w.balance(now) < tokens {
@@ -69,11 +70,7 @@
 		if amount <= 0 {
 			continue
 		}
-		certain := amount
-		if !w.accounts[p].ample() {
-			certain = int64(float64(amount) * w.outcome.mean * certainShare)
-		}
-		r.holds[p] = w.accounts[p].reserve(now, amount, certain)
+		r.holds[p] = w.accounts[p].reserve(now, amount)
 		left -= amount
 	}
 	w.countDemand(now, tokens)
@@ -94,6 +91,46 @@
 	w.demandAt = now
 }
 
+// Start says that the tokens are consumed from now on. A part of them, what
+// the request will use at least by experience, is spent for good; the rest may
+// come back. It returns false when the tokens are lost.
+func (h *Holder) Start(now time.Time, r *Reservation) bool {
+	w := h.workspaces[r.workspace]
+	for p, hold := range r.holds {
+		if hold == nil {
+			continue
+		}
+		if w == nil || w.accounts[p] != hold.account || hold.account.expired(now) {
+			return false
+		}
+	}
+	r.started = true
+	for _, hold := range r.holds {
+		if hold != nil {
+			hold.start(w.outcome.mean * certainShare)
+		}
+	}
+	return true
+}
+
+// drop gives back all that the reservation holds.
+func (h *Holder) drop(r *Reservation) {
+	for p, hold := range r.holds {
+		if hold != nil {
+			hold.settle(0)
+		}
+		r.holds[p] = nil
+	}
+}
+
+func (h *Holder) countOutcome(r *Reservation, used int64) {
+	share := float64(used) / float64(max(1, r.tokens))
+	h.outcome.add(share)
+	if w := h.workspaces[r.workspace]; w != nil {
+		w.outcome.add(share)
+	}
+}
+
 // Settle gives back what the reservation did not use; used is clipped to the
 // reservation. A second settlement has no effect.
 func (h *Holder) Settle(r *Reservation, used int64) {
@@ -102,10 +139,8 @@
 	}
 	r.settled = true
 	used = min(max(0, used), r.tokens)
-	share := float64(used) / float64(max(1, r.tokens))
-	h.outcome.add(share)
-	if w := h.workspaces[r.workspace]; w != nil {
-		w.outcome.add(share)
+	if r.started {
+		h.countOutcome(r, used)
 	}
 	left := used
 	for _, hold := range r.holds {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -67,7 +67,7 @@
 const maxAsks = 4
 
 // Reserve takes tokens (prompt and the longest answer) of the workspace's
-// rate, for as long as Settle is not called. It refuses with a *verdict.Error
+// rate; call Start when the request is sent and Settle when it is over. It refuses with a *verdict.Error
 // with the verdict NotRun: 429 with Retry-After over the rate, 413 when the
 // request can never fit the burst. It blocks for at most maxAsks exchanges.
 func (l *Limiter) Reserve(ctx context.Context, workspace string, rate, burst, tokens int64) (*Reservation, error) {
@@ -99,7 +99,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	if r, ok := l.holder.Reserve(now, workspace, tokens); ok {
-		r.limiter = l
+		r.limiter, r.limit = l, limit
 		return r, nil
 	}
 	tried := [partCount]bool{asks[Base] >= maxAsks/partCount, asks[Surplus] >= maxAsks/partCount}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -33,6 +33,7 @@
 		is.Equal(verdict.Of(err), verdict.NotRun)
 		is.Equal(verdict.As(err).Status, 429)
 		is.True(verdict.As(err).RetryAfter > 0)
+		is.NoErr(r.Start(ctx))
 		r.Settle(400)
 		r.Settle(0) // no effect
 		second, err := l.Reserve(ctx, "w", 100, 1000, 600)
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -34,7 +34,8 @@
 // request is one request of a load.
 type request struct {
 	prompt, max, used int64
-	duration          time.Duration
+	// queued is the wait before the request is sent, duration the time after.
+	queued, duration time.Duration
 }
 
 func (l *load) draw(rnd *rand.Rand, at time.Duration) request {
@@ -46,8 +47,12 @@
 	}
 	prompt, longest := 100+rnd.Int64N(400), 100+rnd.Int64N(400)
 	output := 1 + rnd.Int64N(longest)
+	var queued time.Duration
+	if rnd.IntN(4) == 0 {
+		queued = time.Duration(rnd.Int64N(int64(2 * time.Second)))
+	}
 	return request{
-		prompt: prompt, max: longest, used: prompt + output,
+		prompt: prompt, max: longest, used: prompt + output, queued: queued,
 		duration: time.Duration(output) * 30 * time.Millisecond,
 	}
 }
@@ -77,7 +82,7 @@
 	}
 }
 
-// send reserves for one request and settles when its answer would be over.
+// send reserves for one request, starts it and settles when its answer would be over.
 func (f *fleet) send(workspace string, h *fleetHost, r request) {
 	f.mu.Lock()
 	limiter, dead := h.limiter, h.dead
@@ -87,11 +92,18 @@
 	}
 	limit := f.limits[workspace]
 	res, err := limiter.Reserve(f.ctx, workspace, limit.Rate, limit.Burst, r.prompt+r.max)
+	if err == nil {
+		time.Sleep(r.queued)
+		err = res.Start(f.ctx)
+	}
 	f.mu.Lock()
 	f.sent[workspace]++
 	if err != nil {
 		f.refused[workspace]++
 		f.mu.Unlock()
+		if res != nil {
+			res.Settle(0)
+		}
 		return
 	}
 	f.log = append(f.log, Consumption{At: time.Now(), Workspace: workspace, Tokens: r.used})
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -57,7 +57,13 @@
 		answer.Error = errorMoved
 		return answer
 	}
-	b, problem := o.bucket(now, r)
+	s := o.shard(now, Part(r.GetPart()), ShardOf(r.GetWorkspace()))
+	if s == nil || (r.GetFence() != 0 && r.GetFence() != s.tenure.Fence) {
+		answer.Error = errorMoved
+		return answer
+	}
+	answer.Fence = s.tenure.Fence
+	b, problem := o.bucket(now, s, r)
 	if problem != "" {
 		answer.Error = problem
 		return answer
@@ -120,17 +126,12 @@
 }
 
 // bucket returns the workspace's bucket, advanced to now.
-func (o *Owner) bucket(now time.Time, r *wire.QuotaRequest) (*bucket, string) {
-	part := Part(r.GetPart())
-	s := o.shard(now, part, ShardOf(r.GetWorkspace()))
-	if s == nil || s.tenure.Fence != r.GetFence() {
-		return nil, errorMoved
-	}
+func (o *Owner) bucket(now time.Time, s *ownedShard, r *wire.QuotaRequest) (*bucket, string) {
 	whole, ok := o.limits(r.GetWorkspace())
 	if !ok {
 		return nil, errorUnknownWorkspace
 	}
-	limit := whole.part(part, o.settings.BasePercent)
+	limit := whole.part(Part(r.GetPart()), o.settings.BasePercent)
 	b := s.buckets[r.GetWorkspace()]
 	if b == nil {
 		if len(s.buckets) >= o.settings.MaxWorkspaces {
