--- a/internal/opsapi/audit.go
+++ b/internal/opsapi/audit.go
@@ -17,11 +17,16 @@
 	for _, in := range intents[:min(len(intents), maxAuditNames)] {
 		names = append(names, string(in.action)+" "+in.id())
 	}
+	s.auditNames(r, names, len(intents), o, err)
+}
+
+// auditNames writes the line for what the names say was asked for.
+func (s *server) auditNames(r *http.Request, names []string, count int, o snapshot.Outcome, err error) {
 	attrs := []slog.Attr{
 		slog.String("operator", operatorOf(r.Context())),
 		slog.String("remote", r.RemoteAddr),
 		slog.Any("resources", names),
-		slog.Int("count", len(intents)),
+		slog.Int("count", count),
 	}
 	if err != nil {
 		v := refusalOf(err).cause
--- a/internal/opsapi/options.go
+++ b/internal/opsapi/options.go
@@ -13,6 +13,7 @@
 type Configuration interface {
 	Current() *snapshot.View
 	Change(ctx context.Context, edit snapshot.Edit) (snapshot.Outcome, error)
+	ReplaceVoters(ctx context.Context, gone []string) (snapshot.Outcome, error)
 	Spread(ctx context.Context, revision resource.Revision) snapshot.Spread
 	Changed() <-chan struct{}
 	ChangesAfter(revision resource.Revision) ([]snapshot.Change, bool)
--- a/internal/opsapi/refusal.go
+++ b/internal/opsapi/refusal.go
@@ -59,6 +59,8 @@
 	const retry = 2 * time.Second
 	unavailable := http.StatusServiceUnavailable
 	switch {
+	case errors.Is(err, snapshot.ErrVoters):
+		return refuse(http.StatusUnprocessableEntity, "no_voter", err.Error())
 	case errors.Is(err, platform.ErrUnknown):
 		e := verdict.Wrap(err, verdict.MayHaveRun, unavailable, "outcome_unknown", "the store's answer was lost; the change may have been accepted")
 		return &refusal{cause: e.After(retry)}
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -13,6 +13,7 @@
 	pathResource  = "/v1/resources/{kind}/{name}"
 	pathApply     = "/v1/apply"
 	pathWatch     = "/v1/watch"
+	pathVoters    = "/v1/voters"
 	pathRevision  = "/v1/revisions/{revision}"
 )
 
@@ -38,6 +39,8 @@
 	r.HandleFunc(pathApply, s.guard(s.apply)).Methods(http.MethodPost)
 	r.HandleFunc(pathWatch, s.guard(s.watch)).Methods(http.MethodGet)
 	r.HandleFunc(pathRevision, s.guard(s.revision)).Methods(http.MethodGet)
+	r.HandleFunc(pathVoters, s.guard(s.voters)).Methods(http.MethodGet)
+	r.HandleFunc(pathVoters, s.guard(s.replaceVoters)).Methods(http.MethodPost)
 	r.NotFoundHandler = s.guard(func(http.ResponseWriter, *http.Request) error {
 		return refuse(http.StatusNotFound, "not_found", "no such path")
 	})
--- a/internal/opsapi/server_test.go
+++ b/internal/opsapi/server_test.go
@@ -223,3 +223,11 @@
 	}
 	b.expect(http.StatusGone, http.MethodGet, "/v1/watch?after=0", "", nil)
 }
+
+func TestHostThatIsNoVoterIsNotReplaced(t *testing.T) {
+	b := newBench(t)
+	var body opsapi.ErrorBody
+	b.expect(http.StatusUnprocessableEntity, http.MethodPost, "/v1/voters", `{"gone":["host-9"]}`, &body)
+	b.is.Equal(body.Error.Code, "no_voter")
+	b.is.True(strings.Contains(b.log.String(), "remove voter host-9"))
+}
--- a/internal/opsapi/status.go
+++ b/internal/opsapi/status.go
@@ -27,7 +27,7 @@
 		c.Reason = "Confirmed"
 	case !spread.Accepted:
 		c.Reason = "NotAccepted"
-		c.Message = "waiting until a majority of the voters holds it"
+		c.Message = "waiting until a majority of the voters holds it; not confirmed by " + strings.Join(spread.Waiting, ", ")
 	case len(spread.Waiting) > 0:
 		c.Reason = "HostsWaiting"
 		c.Message = "waiting for " + strings.Join(spread.Waiting, ", ")
--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -235,3 +235,35 @@
 	is.True(!h.confirm(h.o.Clock.now(), 3)) // Nothing is confirmed that is not held.
 	is.True(!h.Fresh(time.Now()))
 }
+
+func TestLostMajorityIsMendedAtOperatorsWord(t *testing.T) {
+	inFleet(t, func(is *is.I, f *fleet) {
+		for _, i := range []int{1, 2, 3} {
+			f.hosts[i].stop()
+			f.unlist(f.hosts[i], true)
+		}
+		f.cutOff(true, 1, 2, 3)
+		o, err := f.change(f.hosts[0], addWorkspace("w", 0))
+		is.NoErr(err)
+		is.True(!o.Accepted)
+		is.Equal(f.hosts[0].holder.Spread(f.t.Context(), o.Revision).Waiting, []string{f.hosts[1].name, f.hosts[2].name, f.hosts[3].name})
+		o, err = f.hosts[0].holder.ReplaceVoters(f.t.Context(), []string{f.hosts[1].name, f.hosts[2].name, f.hosts[3].name})
+		is.NoErr(err)
+		is.True(o.Accepted)
+		_, err = f.hosts[0].holder.ReplaceVoters(f.t.Context(), []string{f.hosts[1].name})
+		is.Equal(err, ErrVoters)
+	})
+}
+
+func TestGoneVoterIsReplaced(t *testing.T) {
+	inFleet(t, func(is *is.I, f *fleet) {
+		f.unlist(f.hosts[2], true)
+		time.Sleep(15 * time.Second)
+		voters := f.hosts[0].holder.Current().Voters()
+		is.Equal(len(voters.Hosts), 3)
+		is.True(!voters.Has(f.hosts[2].name))
+		f.unlist(f.hosts[2], false)
+		time.Sleep(15 * time.Second)
+		is.Equal(len(f.hosts[0].holder.Current().Voters().All()), 5)
+	})
+}
--- a/internal/snapshot/exchange.go
+++ b/internal/snapshot/exchange.go
@@ -114,6 +114,8 @@
 // loadPages loads a whole snapshot from a peer, one page an exchange. It
 // starts again when the peer has another snapshot by then.
 func (h *Holder) loadPages(ctx context.Context, peer string) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	var pages [][]byte
 	var revision int64
 	restarts := 0
@@ -122,7 +124,7 @@
 			FreshAgeUs: -1, WantAfter: wantNothing,
 			WantPage: int32(len(pages) + 1), PageRevision: revision, //nolint:gosec // maxPages bounds it.
 		}
-		answer, err := h.exchange(ctx, peer, part, loadTimeout)
+		answer, err := h.exchange(ctx, peer, part, pageTimeout)
 		if err != nil {
 			return err
 		}
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -72,8 +72,7 @@
 	changed chan struct{}
 	tracker tracker
 
-	pages     pageCache
-	upkeepDue time.Time // Run alone uses it.
+	pages pageCache
 }
 
 // flaws break the holder on purpose, for tests that must notice.
--- a/internal/snapshot/log.go
+++ b/internal/snapshot/log.go
@@ -195,6 +195,8 @@
 
 // object reads an immutable segment or page.
 func (l *Log) object(ctx context.Context, key string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, objectTimeout)
+	defer cancel()
 	kv, err := l.store.Get(ctx, key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil, errFolded
--- a/internal/snapshot/push.go
+++ b/internal/snapshot/push.go
@@ -39,7 +39,11 @@
 // ErrUnknown nothing was changed. The end of ctx does not interrupt the
 // change.
 func (h *Holder) Change(ctx context.Context, edit Edit) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	return h.change(context.WithoutCancel(ctx), edit)
+}
+
+func (h *Holder) change(ctx context.Context, edit Edit) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	s, revision, err := h.o.Log.Append(ctx, h.Current(), edit)
 	if err != nil {
--- a/internal/snapshot/round.go
+++ b/internal/snapshot/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,17 +16,23 @@
 	storeTimeout = 300 * time.Millisecond
 	// loadTimeout bounds loading a whole snapshot, from the store or a peer.
 	loadTimeout = 10 * time.Second
+	// objectTimeout bounds reading one segment or page from the store, and
+	// pageTimeout one page from a peer, which may have to encode it first.
+	objectTimeout = time.Second
+	pageTimeout   = 2 * time.Second
 	// exchangeTimeout bounds one exchange with a peer.
 	exchangeTimeout = 250 * time.Millisecond
 )
 
 // Run keeps the view current and confirmed until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { h.runUpkeep(ctx) })
+	defer wg.Wait()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
 	for {
 		h.round(ctx)
-		h.upkeep(ctx)
 		h.pages.expire()
 		select {
 		case <-ctx.Done():
--- a/internal/snapshot/tracker.go
+++ b/internal/snapshot/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/resource"
@@ -44,7 +45,8 @@
 	// InForce is true when every live host holds the revision or has lost its
 	// freshness.
 	InForce bool
-	// Waiting names live hosts that have not confirmed the revision.
+	// Waiting names live hosts, and before the acceptance voters, that have
+	// not confirmed the revision.
 	Waiting []string
 	// Since is when this host learnt of the acceptance; zero before.
 	Since time.Time
@@ -88,16 +90,25 @@
 	defer h.mu.Unlock()
 	at, accepted := h.tracker.acceptedAt(revision)
 	s := Spread{Accepted: accepted, Since: at.at}
-	if len(live) > maxAskedHosts {
-		return s
+	s.Waiting = h.waiting(live, revision, accepted)
+	s.InForce = accepted && len(live) <= maxAskedHosts && len(s.Waiting) == 0
+	return s
+}
+
+// waiting names the hosts that are not known to hold the revision: the voters
+// until it is accepted, and the live hosts where each is asked. Called with mu
+// held.
+func (h *Holder) waiting(live []Peer, revision resource.Revision, accepted bool) []string {
+	var hosts []string
+	if !accepted {
+		hosts = h.Current().voters.All()
 	}
-	for _, p := range live {
-		if p.Name != h.o.Host && h.tracker.held[p.Name] < revision {
-			s.Waiting = append(s.Waiting, p.Name)
-		}
+	if len(live) <= maxAskedHosts {
+		hosts = names(live, hosts)
 	}
-	s.InForce = s.Accepted && len(s.Waiting) == 0
-	return s
+	return slices.DeleteFunc(hosts, func(host string) bool {
+		return host == h.o.Host || h.tracker.held[host] >= revision
+	})
 }
 
 // inForceByTime is true when every host that lacks the revision has lost its
--- a/internal/snapshot/upkeep.go
+++ b/internal/snapshot/upkeep.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Bounds of the list of voters.
@@ -18,17 +20,26 @@
 	upkeepInterval = 5 * time.Second
 )
 
-// upkeep replaces voters that are gone. One host at a time does it, and the
+// runUpkeep replaces voters that are gone, until ctx ends.
+func (h *Holder) runUpkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		h.upkeep(ctx)
+	}
+}
+
+// upkeep looks at the list once. One host at a time does it, and the
 // compare-and-swap of the log keeps two from doing it at once.
 func (h *Holder) upkeep(ctx context.Context) {
-	now := time.Now()
-	if now.Before(h.upkeepDue) || h.storeFailed.Load() {
-		return
-	}
-	h.upkeepDue = now.Add(upkeepInterval)
 	live := h.o.Directory()
 	ranked := rankHosts("voters", names(live, nil))
-	if len(ranked) == 0 || ranked[0] != h.o.Host {
+	if h.storeFailed.Load() || len(ranked) == 0 || ranked[0] != h.o.Host {
 		return
 	}
 	if err := h.updateVoters(ctx, live); err != nil {
@@ -48,7 +59,7 @@
 		return nil
 	}
 	before := v.voters
-	o, err := h.Change(ctx, func(v *View) (Change, error) {
+	o, err := h.change(ctx, func(v *View) (Change, error) {
 		if !sameVoters(v.voters, before) {
 			return Change{}, nil
 		}
@@ -60,6 +71,24 @@
 	return err
 }
 
+// ErrVoters means that the hosts named as gone are not voters.
+var ErrVoters = errors.New("none of the hosts is a voter")
+
+// ReplaceVoters takes hosts out of the list of voters at an operator's word
+// that their processes have ended. It needs no majority of the list that it
+// replaces, so it mends a list that has lost its majority. A host that is
+// named wrongly, runs on, and reaches a majority of the old list but neither
+// the store nor the new voters could go on with an old configuration.
+func (h *Holder) ReplaceVoters(ctx context.Context, gone []string) (Outcome, error) {
+	live := slices.DeleteFunc(slices.Clone(h.o.Directory()), func(p Peer) bool { return slices.Contains(gone, p.Name) })
+	return h.Change(ctx, func(v *View) (Change, error) {
+		if !slices.ContainsFunc(gone, v.voters.Has) {
+			return Change{}, ErrVoters
+		}
+		return Change{Voters: &VoterList{Hosts: chooseVoters(v.voters.Hosts, live)}}, nil
+	})
+}
+
 // nextVoters returns the list that should follow, and whether it differs.
 func nextVoters(l VoterList, live []Peer) (VoterList, bool) {
 	if len(l.Previous) > 0 {
