fault: processes behind a proxy, judged by the audit

The promises were checked in packages so far, not between real processes. test/fault starts entries and agents of the built binary with each link behind toxiproxy as a library, kills, pauses, cuts and silences them under load, and audits the records. The library's timeout toxic was ruled out: it drops bytes and closes on heal; a small toxic of ours holds them back. The audit now accepts the recorded answer for a payment sent again.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -112,6 +112,17 @@
 	}
 }
 
+func TestRepeatedPaymentMayGetTheFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	r := good()
+	again := r.Requests[1]
+	again.ID = "p2"
+	r.Requests = append(r.Requests, again)
+	is.Equal(audit.Broken(audit.Check(r, audit.DefaultBounds())), nil)
+	r.Services[0].Calls[0].IdempotencyKey = "other"
+	is.Equal(len(audit.Broken(audit.Check(r, audit.DefaultBounds()))), 1)
+}
+
 func TestEachPromiseHasABadRecord(t *testing.T) {
 	is := is.New(t)
 	covered := make(map[audit.Promise]bool)
--- /dev/null
+++ b/test/fault/configuration_test.go
@@ -0,0 +1,144 @@
+//go:build linux
+
+package fault
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/audit"
+	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/opsclient"
+	"github.com/acacialink/acacialink/internal/resource"
+)
+
+const (
+	model = "lantern"
+	// settleTimeout bounds the wait for a site to serve.
+	settleTimeout = 60 * time.Second
+	pollInterval  = 100 * time.Millisecond
+)
+
+// keySpec is a key with its workspace.
+type keySpec struct {
+	name, secret, workspace string
+}
+
+// declare notes all resources but the endpoints.
+func (s *site) declare(p plan) {
+	for _, d := range domains {
+		s.add("domain", d, map[string]any{"region": "test"})
+	}
+	s.add("model", model, map[string]any{"version": "1", "max_prompt_tokens": 16_000, "max_output_tokens": 2_000})
+	if p.rates == nil {
+		p.rates = map[string][2]int64{"residents": {100_000, 1_000_000}, "schools": {100_000, 1_000_000}}
+	}
+	for workspace, rate := range p.rates {
+		s.add("workspace", workspace, map[string]any{"rate_tokens": rate[0], "burst_tokens": rate[1]})
+		s.workspaces = append(s.workspaces, audit.Workspace{
+			Name: workspace, RateTokens: rate[0], BurstTokens: rate[1],
+		})
+		k := keySpec{name: workspace + "-key", secret: "secret-of-" + workspace, workspace: workspace}
+		s.keys = append(s.keys, k)
+		s.addKey(k)
+	}
+	s.add("route", "orders", map[string]any{
+		"prefix": "/orders", "service": "orders", "methods": []string{"POST"}, "at_most_once": true,
+	})
+	s.add("route", "status", map[string]any{"prefix": "/status", "service": "orders", "methods": []string{"GET"}})
+	s.add("pool", "engines", map[string]any{
+		"model": model, "domains": domains, "min": 1, "max": 4,
+		"prefill_tokens": 12_000, "decode_tokens": 2_000, "start_seconds": 30,
+	})
+}
+
+func (s *site) addKey(k keySpec) {
+	sum := sha256.Sum256([]byte(k.secret))
+	s.add("key", k.name, map[string]any{"workspace": k.workspace, "sha256": hex.EncodeToString(sum[:])})
+}
+
+func (s *site) add(kind, name string, spec map[string]any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.resources = append(s.resources, resource.Resource{Kind: resource.Kind(kind), Name: name, Spec: text})
+}
+
+// configure applies all resources and waits until they are in force.
+func (s *site) configure() {
+	s.t.Helper()
+	o := s.operator()
+	o.Wait = settleTimeout
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		err := opsclient.ApplyResources(s.t.Context(), o, s.resources, io.Discard)
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("configure: %v", err)
+		}
+		time.Sleep(pollInterval)
+	}
+	s.waitServing()
+}
+
+// operator returns the operators' client of the site.
+func (s *site) operator() opsclient.Options {
+	return opsclient.Options{Addresses: operatorURLs(s.entries), Token: operatorToken, JSON: true}
+}
+
+// revoke revokes a key and returns when and at which revision it was accepted.
+func (s *site) revoke(key string) audit.ConfigChange {
+	s.t.Helper()
+	var out bytes.Buffer
+	err := opsclient.Delete(s.t.Context(), s.operator(), "key", key, 0, &out)
+	if err != nil {
+		s.t.Fatalf("revoke %s: %v", key, err)
+	}
+	var answer struct {
+		Revision int64 `json:"revision"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &answer); err != nil {
+		s.t.Fatalf("revoke %s: %v", key, err)
+	}
+	return audit.ConfigChange{Revision: answer.Revision, AcceptedAt: time.Now()}
+}
+
+// configState is the part of an entry's state dump about its configuration.
+type configState struct {
+	Revision int64 `json:"revision"`
+	Known    bool  `json:"known"`
+	AgeMS    int64 `json:"age_ms"`
+}
+
+// freshness is how old a confirmation a host may serve by.
+const freshness = 3 * time.Second
+
+// seen returns the revision that an entry serves with, false if it serves none.
+func (h *host) seen(ctx context.Context) (audit.ConfigSeen, bool) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	at := time.Now()
+	var out bytes.Buffer
+	if err := observe.Dump(ctx, h.operators, operatorToken, "config", &out); err != nil {
+		return audit.ConfigSeen{}, false
+	}
+	var state struct {
+		State struct {
+			Config configState `json:"config"`
+		} `json:"state"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &state); err != nil {
+		return audit.ConfigSeen{}, false
+	}
+	c := state.State.Config
+	fresh := c.Known && time.Duration(c.AgeMS)*time.Millisecond < freshness
+	return audit.ConfigSeen{Process: h.name, At: at, Revision: c.Revision}, fresh
+}
--- /dev/null
+++ b/test/fault/link_test.go
@@ -0,0 +1,63 @@
+//go:build linux
+
+package fault
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// link is one TCP link between two processes, with the faults of its proxy.
+type link struct {
+	t     *testing.T
+	name  string
+	gate  *gate
+	proxy *toxiproxy.Proxy
+}
+
+func newLink(t *testing.T, name, upstreamAddress string) *link {
+	t.Helper()
+	name = t.Name() + "/" + name
+	l := &link{t: t, name: name, gate: newGate()}
+	gates.Store(name, l.gate)
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	l.proxy = toxiproxy.NewProxy(server, name, "127.0.0.1:0", upstreamAddress)
+	if err := l.proxy.Start(); err != nil {
+		t.Fatalf("proxy %s: %v", name, err)
+	}
+	t.Cleanup(func() {
+		l.heal()
+		l.proxy.Stop()
+	})
+	for _, d := range []direction{upstream, downstream} {
+		l.addToxic("gate", d, fmt.Sprintf(`{"link":%q,"direction":%q}`, name, d))
+	}
+	return l
+}
+
+func (l *link) addToxic(kind string, d direction, attributes string) {
+	l.t.Helper()
+	body := fmt.Sprintf(`{"type":%q,"stream":%q,"attributes":%s}`, kind, d, attributes)
+	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(body)); err != nil {
+		l.t.Fatalf("toxic %s on %s: %v", kind, l.name, err)
+	}
+}
+
+// address is where the link's callers connect to.
+func (l *link) address() string { return l.proxy.Listen }
+
+// cut holds back all bytes in both directions.
+func (l *link) cut() {
+	l.gate.hold(upstream, true)
+	l.gate.hold(downstream, true)
+}
+
+// heal lets held bytes flow on.
+func (l *link) heal() {
+	l.gate.hold(upstream, false)
+	l.gate.hold(downstream, false)
+}
--- /dev/null
+++ b/test/fault/site_test.go
@@ -0,0 +1,215 @@
+//go:build linux
+
+package fault
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/acacialink/acacialink/internal/audit"
+	"github.com/acacialink/acacialink/internal/certs"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/standin"
+	"github.com/acacialink/acacialink/internal/standin/engine"
+	"github.com/acacialink/acacialink/internal/standin/service"
+)
+
+const operatorToken = "test-operator"
+
+// plan says what a site consists of.
+type plan struct {
+	entries, engines, services int
+	// rates are the workspaces' rates and bursts in tokens by name.
+	rates map[string][2]int64
+}
+
+// domains are the failure domains; processes are spread over them in turn.
+var domains = []string{"north", "south", "west"}
+
+func domainOf(i int) string { return domains[i%len(domains)] }
+
+// host is one process of the site with its links.
+type host struct {
+	*process
+	domain string
+	// callers and operators are the addresses of an entry process.
+	callers, operators string
+	// store is the link to the store; inbound that from entry processes, and
+	// endpoint that to the endpoint beside an agent.
+	store, inbound, endpoint *link
+}
+
+// site is a running deployment of processes.
+type site struct {
+	t         *testing.T
+	dir       string
+	authority *certs.Authority
+	standins  *standin.Deployment
+	entries   []*host
+	agents    []*host
+	resources []resource.Resource
+	keys      []keySpec
+	// workspaces are the declared ones with their rates.
+	workspaces []audit.Workspace
+}
+
+// newSite starts the site and waits until its configuration is in force.
+func newSite(t *testing.T, p plan) *site {
+	t.Helper()
+	s := &site{t: t, dir: t.TempDir()}
+	var err error
+	if s.authority, err = certs.NewAuthority(); err != nil {
+		t.Fatal(err)
+	}
+	if s.standins, err = standin.Start(standin.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.standins.Close)
+	s.declare(p)
+	for i := range p.engines {
+		s.addEngine(i)
+	}
+	for i := range p.services {
+		s.addService(i)
+	}
+	for i := range p.entries {
+		s.addEntry(i)
+	}
+	s.configure()
+	return s
+}
+
+func (s *site) addEntry(i int) {
+	s.t.Helper()
+	h := &host{domain: domainOf(i), callers: freeAddress(s.t), operators: freeAddress(s.t)}
+	name := fmt.Sprintf("entry-%d", i+1)
+	peers := freeAddress(s.t)
+	h.inbound = newLink(s.t, "peer/"+name, peers)
+	h.store = newLink(s.t, "store/"+name, s.standins.Store.Address())
+	s.standins.HostList.Standin.Set(platform.Host{
+		Name: name, Domain: h.domain, State: platform.HostLive, Address: h.inbound.address(),
+	})
+	h.process = s.process("entry", name, map[string]any{
+		"region":    "test",
+		"domain":    h.domain,
+		"listen":    map[string]string{"callers": h.callers, "operators": h.operators, "peers": peers},
+		"member":    map[string]any{"host_list": "500ms"},
+		"operators": operators(),
+		"platform": map[string]string{
+			"store":      "http://" + h.store.address() + "/clients/" + name,
+			"host_list":  s.standins.HostList.URL(),
+			"provider":   s.standins.Provider.URL(),
+			"usage_sink": s.standins.UsageSink.URL(),
+			"weights":    s.standins.Weights.URL(),
+		},
+	})
+	s.entries = append(s.entries, h)
+}
+
+func (s *site) addEngine(i int) {
+	s.t.Helper()
+	name := fmt.Sprintf("engine-%d", i+1)
+	// Every second engine checks fencing numbers.
+	checks := i%2 == 0
+	instance, err := s.standins.AddEngine(engine.Options{Name: name, Models: []string{model}, ChecksFencing: checks})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.addAgent(name, domainOf(i), instance.Address(), map[string]any{
+		"type": "engine", "pool": "engines", "checks_fencing": checks, "models": []string{model},
+	})
+}
+
+func (s *site) addService(i int) {
+	s.t.Helper()
+	name := fmt.Sprintf("orders-%d", i+1)
+	instance, err := s.standins.AddService(service.Options{Name: name})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.addAgent(name, domainOf(i), instance.Address(), map[string]any{
+		"type": "service", "service": "orders", "checks_fencing": false,
+	})
+}
+
+// addAgent starts the agent beside an endpoint and declares the endpoint.
+func (s *site) addAgent(name, domain, endpoint string, spec map[string]any) {
+	s.t.Helper()
+	listen := freeAddress(s.t)
+	h := &host{domain: domain, operators: freeAddress(s.t)}
+	h.inbound = newLink(s.t, "agent/"+name, listen)
+	h.endpoint = newLink(s.t, "endpoint/"+name, endpoint)
+	h.store = newLink(s.t, "store/"+name, s.standins.Store.Address())
+	h.process = s.process("agent", name, map[string]any{
+		"domain":          domain,
+		"listen":          listen,
+		"operator_listen": h.operators,
+		"operators":       operators(),
+		"store":           "http://" + h.store.address() + "/clients/" + name,
+		"endpoint": map[string]any{
+			"type": spec["type"], "url": "http://" + h.endpoint.address(), "checks_fencing": spec["checks_fencing"],
+		},
+	})
+	s.agents = append(s.agents, h)
+	spec["domain"] = domain
+	spec["agent"] = h.inbound.address()
+	s.add("endpoint", name, spec)
+}
+
+// process writes the settings and certificate of a process and starts it.
+func (s *site) process(kind, name string, settings map[string]any) *process {
+	s.t.Helper()
+	pair, err := s.authority.Issue(certs.Role(kind), name, net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	files, err := s.authority.WriteFiles(s.dir, name, pair)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	settings["kind"] = kind
+	settings["name"] = name
+	settings["tls"] = map[string]string{"ca": files.CA, "cert": files.Cert, "key": files.Key}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.dir, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return newProcess(s.t, name, kind, "--settings", path)
+}
+
+func operators() []map[string]string {
+	sum := sha256.Sum256([]byte(operatorToken))
+	return []map[string]string{{"name": "test", "token_sha256": hex.EncodeToString(sum[:])}}
+}
+
+// agent returns the agent beside the endpoint with the name.
+func (s *site) agent(name string) *host {
+	s.t.Helper()
+	for _, h := range s.agents {
+		if h.name == name {
+			return h
+		}
+	}
+	s.t.Fatalf("no agent %s", name)
+	return nil
+}
+
+func operatorURLs(entries []*host) []string {
+	urls := make([]string, 0, len(entries))
+	for _, h := range entries {
+		urls = append(urls, "http://"+strings.TrimSpace(h.operators))
+	}
+	return urls
+}
