replay: open-loop replay of traces with stated outcomes

Change: package replay, five scenarios for both sites, outcomes files, comparison over seeds; sample rates raised to what the scenarios send. Ruled out: a closed loop, whose figures improve when the site stalls; encoding/csv, which stops at the first fault.

--- a/examples/examples.go
+++ b/examples/examples.go
@@ -19,3 +19,20 @@
 		"clerks":      "key-clerks",
 	}
 }
+
+// ConsortiumResources is the resources file of the dice tower consortium.
+//
+//go:embed consortium/resources.hujson
+var ConsortiumResources []byte
+
+// ConsortiumKeys are the sample keys of the consortium by workspace, the same
+// as the comments of its resources file name.
+func ConsortiumKeys() map[string]string {
+	return map[string]string{
+		"olumo-workshop":  "key-olumo",
+		"ake-workshop":    "key-ake",
+		"bodija-workshop": "key-bodija",
+		"buyers":          "key-buyers",
+		"photo-tags":      "key-photo-tags",
+	}
+}
--- /dev/null
+++ b/internal/replay/plot.go
@@ -0,0 +1,116 @@
+package replay
+
+import (
+	"fmt"
+	"image/color"
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Sizes of a plot.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 4 * vg.Inch
+	barWidth   = 18
+)
+
+// Colours of the lines of several results.
+var lineColours = []color.Color{
+	color.RGBA{R: 31, G: 119, B: 180, A: 255},
+	color.RGBA{R: 214, G: 39, B: 40, A: 255},
+	color.RGBA{R: 44, G: 160, B: 44, A: 255},
+	color.RGBA{R: 148, G: 103, B: 189, A: 255},
+}
+
+// Named is a result with its name in a plot.
+type Named struct {
+	Name   string
+	Result *Result
+}
+
+// PlotGoodput draws the goodput of waiting callers over time. The file's
+// ending, .svg or .png, names its form.
+func PlotGoodput(path string, results ...Named) error {
+	p := plot.New()
+	p.Title.Text = "Goodput of waiting callers"
+	p.Y.Label.Text = "share of requests within both targets"
+	p.Y.Min, p.Y.Max = 0, 1
+	return lines(p, path, results, func(s Slice) float64 { return s.Goodput })
+}
+
+// PlotFirstToken draws the 95th percentile of the first token over time.
+func PlotFirstToken(path string, results ...Named) error {
+	p := plot.New()
+	p.Title.Text = "First token, 95th percentile"
+	p.Y.Label.Text = "milliseconds"
+	p.Y.Min = 0
+	return lines(p, path, results, func(s Slice) float64 { return s.FirstP95 })
+}
+
+// lines draws a figure of the timelines.
+func lines(p *plot.Plot, path string, results []Named, figure func(Slice) float64) error {
+	p.X.Label.Text = "seconds"
+	for i, r := range results {
+		points := make(plotter.XYs, 0, len(r.Result.Timeline))
+		for _, s := range r.Result.Timeline {
+			if s.Sent > 0 {
+				points = append(points, plotter.XY{X: s.At, Y: figure(s)})
+			}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Wrapf(err, "plot %s", r.Name)
+		}
+		line.Color = lineColours[i%len(lineColours)]
+		p.Add(line)
+		p.Legend.Add(r.Name, line)
+	}
+	p.Add(plotter.NewGrid())
+	return save(p, path)
+}
+
+// PlotWorkspaces draws the goodput of each workspace, side by side.
+func PlotWorkspaces(path string, results ...Named) error {
+	p := plot.New()
+	p.Title.Text = "Goodput by workspace"
+	p.Y.Label.Text = "share of requests within the targets"
+	p.Y.Min, p.Y.Max = 0, 1
+	names := workspaceNames(results)
+	for i, r := range results {
+		values := make(plotter.Values, len(names))
+		for j, name := range names {
+			if g := r.Result.Workspaces[name]; g != nil {
+				values[j] = g.Goodput
+			}
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return errors.Wrapf(err, "plot %s", r.Name)
+		}
+		bars.Color = lineColours[i%len(lineColours)]
+		bars.Offset = vg.Length(i*barWidth) - vg.Length((len(results)-1)*barWidth)/2
+		p.Add(bars)
+		p.Legend.Add(r.Name, bars)
+	}
+	p.NominalX(names...)
+	return save(p, path)
+}
+
+func workspaceNames(results []Named) []string {
+	names := make(map[string]bool)
+	for _, r := range results {
+		for name := range r.Result.Workspaces {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+func save(p *plot.Plot, path string) error {
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), fmt.Sprint("plot ", path))
+}
--- /dev/null
+++ b/internal/replay/trace_test.go
@@ -0,0 +1,139 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tailscale/hujson"
+
+	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/resource"
+)
+
+func TestPublishedTrace(t *testing.T) {
+	is := is.New(t)
+	trace, err := ReadCSV(strings.NewReader("TIMESTAMP,ContextTokens,GeneratedTokens\n" +
+		"2023-11-16 18:17:03.9799600,4808,10\n2023-11-16 18:17:04.0319600,3180,8\n"))
+	is.NoErr(err)
+	is.Equal(len(trace.Requests), 2)
+	is.Equal(trace.Requests[0].At, time.Duration(0))
+	is.Equal(trace.Requests[1], Request{At: 52 * time.Millisecond, Context: 3180, Generated: 8})
+}
+
+func TestTraceFaultsAllAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := ReadCSV(strings.NewReader("TIMESTAMP,ContextTokens,GeneratedTokens,Priority,Prefix\n" +
+		"0,1,1,urgent,\nyesterday,1,1,,\n1,-1,many,,\n1,5,5,,p:6\n1,2\n"))
+	is.True(err != nil)
+	for _, want := range []string{
+		`line 2: priority "urgent"`, `line 3: timestamp "yesterday"`, `line 4: contexttokens "-1"`,
+		`line 4: generatedtokens "many"`, `line 5: prefix "p:6"`, `line 6: 2 fields`,
+	} {
+		is.True(strings.Contains(err.Error(), want))
+	}
+	for _, bad := range []string{"", "TIMESTAMP,ContextTokens\n0,1\n", "TIMESTAMP,ContextTokens,GeneratedTokens\n0,1,1\n2023-11-16 18:17:03,1,1\n"} {
+		_, err := ReadCSV(strings.NewReader(bad))
+		is.True(err != nil)
+	}
+}
+
+func FuzzReadCSV(f *testing.F) {
+	f.Add([]byte("TIMESTAMP,ContextTokens,GeneratedTokens,Prefix\n1.5,4808,10,p:3\n"))
+	f.Add([]byte("# seed x\n# event 1e99 a b\nTIMESTAMP,ContextTokens,GeneratedTokens\n9999-12-31T23:59:59Z,1,1\n0001-01-01T00:00:00Z,1,1\n"))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		trace, err := ReadCSV(bytes.NewReader(source))
+		if err != nil {
+			return
+		}
+		for i := range trace.Requests {
+			if at := trace.Requests[i].At; at < 0 || i > 0 && at < trace.Requests[i-1].At {
+				t.Fatalf("request %d is due at %v", i, at)
+			}
+		}
+	})
+}
+
+// sampleRates returns the workspaces' rates of a site's sample resources.
+func sampleRates(t *testing.T, source []byte) map[string]Rate {
+	standard, err := hujson.Standardize(bytes.Clone(source))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []resource.Resource
+	if err := json.Unmarshal(standard, &list); err != nil {
+		t.Fatal(err)
+	}
+	rates := make(map[string]Rate)
+	for _, r := range list {
+		var w resource.WorkspaceSpec
+		if r.Kind == resource.KindWorkspace && json.Unmarshal(r.Spec, &w) == nil {
+			rates[r.Name] = Rate{Tokens: w.RateTokens, Burst: w.BurstTokens}
+		}
+	}
+	return rates
+}
+
+// TestScenarios checks that each scenario is the same for the same seed,
+// survives a file, names only workspaces of its site, and keeps their sample
+// rates, except for the one that exceeds them on purpose.
+func TestScenarios(t *testing.T) {
+	sources := map[string][]byte{"festival": examples.FestivalResources, "consortium": examples.ConsortiumResources}
+	for _, s := range Scenarios() {
+		t.Run(s.Name, func(t *testing.T) {
+			is := is.New(t)
+			rates := sampleRates(t, sources[s.Site])
+			trace, err := Generate(s.Name, 7, 5*time.Minute, 1)
+			is.NoErr(err)
+			again, err := Generate(s.Name, 7, 5*time.Minute, 1)
+			is.NoErr(err)
+			is.Equal(trace, again)
+			other, err := Generate(s.Name, 8, 5*time.Minute, 1)
+			is.NoErr(err)
+			is.True(len(other.Requests) != len(trace.Requests) || other.Requests[0] != trace.Requests[0])
+
+			var file bytes.Buffer
+			is.NoErr(WriteCSV(&file, trace))
+			read, err := ReadCSV(&file)
+			is.NoErr(err)
+			is.Equal(len(read.Requests), len(trace.Requests))
+			is.Equal(read.Events, trace.Events)
+			is.Equal(read.Requests[99].Prefix, trace.Requests[99].Prefix)
+
+			past := map[string]int{}
+			within := withinRates(trace, Options{Scale: 1, Rates: rates})
+			for i, ok := range within {
+				w := trace.Requests[i].Workspace
+				_, known := rates[w]
+				is.True(known)
+				if !ok {
+					past[w]++
+				}
+			}
+			if s.Name == "tenant-surge" {
+				is.True(past["schools"] > len(trace.Requests)/10)
+				delete(past, "schools")
+			}
+			is.Equal(len(past), 0)
+		})
+	}
+	_, err := Generate("no-such", 1, time.Minute, 1)
+	is.New(t).True(err != nil)
+}
+
+// TestPromptsShareTheirPrefix checks the tokens and the shared pieces of
+// prompts about the same document.
+func TestPromptsShareTheirPrefix(t *testing.T) {
+	is := is.New(t)
+	r := Request{Context: 5300, Prefix: "dossier-1:5000"}
+	a, b := r.prompt(1, 1), r.prompt(1, 2)
+	is.Equal(platform.Tokens(a), 5300)
+	is.True(a != b)
+	is.Equal(platform.PrefixHashes("m", a)[4], platform.PrefixHashes("m", b)[4])
+	r.Prefix = "dossier-2:5000"
+	is.True(platform.PrefixHashes("m", a)[0] != platform.PrefixHashes("m", r.prompt(1, 1))[0])
+}
