node: leases, quota shards, usage and control work in every entry host

Cause: the packages stood side by side; a host limited only what it served itself and reported no usage. Change: pieces of control work by lease, base quota by slots and the rest by lease, usage handed to keepers, role and pool reconcilers, the order gate in agents; a planned stop hands over usage before it releases leases and slots. Slots are given back with retries, since hosts that stop together write one table.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -112,6 +112,9 @@
 		return err
 	}
 	defer func() { g.ticket.Release(int64(g.delivered)) }()
+	if err := reservation.Start(ctx); err != nil {
+		return err
+	}
 	defer s.recordUsage(g)
 	return g.run(ctx)
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -48,6 +48,9 @@
 
 // Reservation is a number of tokens taken in advance.
 type Reservation interface {
+	// Start is called just before the request is sent; it may refuse with a
+	// *verdict.Error that is not-run.
+	Start(ctx context.Context) error
 	// Settle gives back what was not used; called once.
 	Settle(used int64)
 }
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -64,6 +64,8 @@
 	return noQuota{}, nil
 }
 
+func (noQuota) Start(context.Context) error { return nil }
+
 func (noQuota) Settle(int64) {}
 
 type noUsage struct{}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -14,6 +14,7 @@
 	"github.com/acacialink/acacialink/internal/agent"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/order"
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
@@ -63,6 +64,7 @@
 		return o
 	}
 	o.Engine = platform.NewHTTPEngine(s.Endpoint.URL, nil)
+	o.Orders = order.NewGate(s.Name, platform.NewHTTPStore(s.Store, nil), o.Engine, s.Timeouts.Order.Std())
 	o.KV = &rpc.KVFetcher{
 		Dialer: func(endpoint string) *rpc.Dialer {
 			return rpc.NewDialer(certs.ClientTLS(source, certs.RoleAgent, endpoint), agentRPC(s))
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
@@ -19,6 +20,7 @@
 // directory knows the entry hosts and their addresses from the platform's
 // host list, and calls them.
 type directory struct {
+	host     string
 	list     platform.HostList
 	pool     *rpc.Pool
 	interval time.Duration
@@ -27,8 +29,8 @@
 	hosts map[string]platform.Host
 }
 
-func newDirectory(list platform.HostList, pool *rpc.Pool, interval time.Duration) *directory {
-	return &directory{list: list, pool: pool, interval: interval, hosts: make(map[string]platform.Host)}
+func newDirectory(host string, list platform.HostList, pool *rpc.Pool, interval time.Duration) *directory {
+	return &directory{host: host, list: list, pool: pool, interval: interval, hosts: make(map[string]platform.Host)}
 }
 
 // Run reads the host list until ctx ends. A list that cannot be read leaves
@@ -73,6 +75,19 @@
 	return peers
 }
 
+// live returns the entry hosts that may hold control work.
+func (d *directory) live() []lease.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hosts := make([]lease.Host, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		if h.State == platform.HostLive {
+			hosts = append(hosts, lease.Host{Name: h.Name, Domain: h.Domain})
+		}
+	}
+	return hosts
+}
+
 // Exchange sends a message to another entry host by its name.
 func (d *directory) Exchange(ctx context.Context, peer string, m *wire.PeerMessage) (*wire.PeerMessage, error) {
 	d.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,18 +13,22 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/acacialink/acacialink/internal/certs"
+	"github.com/acacialink/acacialink/internal/control"
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/fleet"
+	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/once"
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/quota"
+	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/settings"
 	"github.com/acacialink/acacialink/internal/snapshot"
+	"github.com/acacialink/acacialink/internal/usage"
 )
 
 // Entry is one entry host process.
@@ -34,13 +38,23 @@
 	log         *slog.Logger
 	registry    *observe.Registry
 	store       platform.Store
+	marks       *record.Marks
+	hostList    platform.HostList
 	directory   *directory
 	config      *snapshot.Holder
 	router      *route.Router
 	fleet       *fleet.Fleet
 	queues      *entry.Queues
+	leases      *lease.Set
+	holders     *lease.Directory
+	slots       *quota.Slots
 	quota       *quota.Limiter
 	claims      *once.Claims
+	recorder    *usage.Recorder
+	keepers     *usage.Keepers
+	sender      *usage.Sender
+	roles       *control.Roles
+	pools       *control.Pools
 	callers     *entry.Server
 	peers       *rpc.Server
 	rpcStats    rpc.Stats
@@ -64,9 +78,13 @@
 		queues:      entry.NewQueues(queue.DefaultSettings()),
 		capacityDue: make(chan struct{}, 1),
 	}
+	e.marks = record.NewMarks(s.Name, e.incarnation)
 	e.buildConfig(source)
 	e.buildFleet(source)
+	e.buildLeases()
 	e.buildQuota()
+	e.buildUsage()
+	e.buildControl(source)
 	e.claims = once.New(e.store, once.Options{})
 	e.callers = entry.New(e.callerOptions())
 	mux := drpcmux.New()
@@ -87,8 +105,8 @@
 func (e *Entry) buildConfig(source certs.Source) {
 	s := e.settings
 	dialer := rpc.NewDialer(certs.ClientTLS(source, certs.RoleEntry, ""), entryRPC(s))
-	hosts := platform.NewHTTPHostList(s.Platform.HostList, nil)
-	e.directory = newDirectory(hosts, rpc.NewPool(dialer, idlePeerConnections), s.Member.HostList.Std())
+	e.hostList = platform.NewHTTPHostList(s.Platform.HostList, nil)
+	e.directory = newDirectory(s.Name, e.hostList, rpc.NewPool(dialer, idlePeerConnections), s.Member.HostList.Std())
 	e.config = snapshot.NewHolder(snapshot.HolderOptions{
 		Host:        s.Name,
 		Domain:      s.Domain,
@@ -140,7 +158,7 @@
 		Quota:    quotaGate{e.quota},
 		Queue:    e.queues,
 		Claims:   e.claims,
-		Usage:    noUsage{},
+		Usage:    e.recorder,
 		Limits: entry.Limits{
 			BodyBytes:    s.Limits.BodyBytes,
 			PromptBytes:  s.Limits.PromptBytes,
@@ -200,12 +218,20 @@
 	}
 	callers := e.callerServer()
 	var g errgroup.Group
-	g.Go(func() error { return e.peers.Serve(serving, e.peerListener) })
-	g.Go(func() error { return serveHTTP(serving, operators, e.operatorListener) })
-	g.Go(func() error { return serveHTTP(serving, callers, e.callerListener) })
-	for _, run := range e.loops() {
-		g.Go(func() error { run(serving); return nil })
+	serve := func(run func() error) {
+		g.Go(func() error {
+			defer stop()
+			return run()
+		})
 	}
+	serve(func() error { return e.peers.Serve(serving, e.peerListener) })
+	serve(func() error { return serveHTTP(serving, operators, e.operatorListener) })
+	g.Go(func() error { return serveHTTP(serving, callers, e.callerListener) })
+	background := startLoops(ctx,
+		e.directory.Run, e.config.Run, e.followConfig, e.followCapacity,
+		e.holders.Run, e.runSlots, e.runQuota, e.keepers.Run, e.leases.Run)
+	sending := startLoops(ctx, e.sender.Run)
+	deciding := startLoops(ctx, e.roles.Run, e.pools.Run)
 	e.log.Info("entry started", "callers", e.CallerAddr(), "operators", e.OperatorAddr(), "peers", e.PeerAddr())
 	g.Go(func() error {
 		defer stop()
@@ -214,6 +240,11 @@
 			e.drain(serving, callers)
 		case <-serving.Done():
 		}
+		deciding.stop()
+		sending.stop()
+		e.handOver(serving)
+		background.stop()
+		e.release(serving)
 		return nil
 	})
 	err = g.Wait()
@@ -221,15 +252,33 @@
 	return err
 }
 
-// loops are what runs beside the listeners.
-func (e *Entry) loops() []func(context.Context) {
-	return []func(context.Context){
-		e.directory.Run,
-		e.config.Run,
-		e.followConfig,
-		e.followCapacity,
-		e.runQuota,
+// handOverTimeout bounds the hand-over of usage figures at a planned stop,
+// and releaseTimeout that of leases and slots.
+const (
+	handOverTimeout = 10 * time.Second
+	releaseTimeout  = 3 * time.Second
+)
+
+// handOver brings the last usage figures into the store.
+func (e *Entry) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if !e.sender.Drain(ctx) {
+		e.log.Warn("usage figures were left at the stop")
+	}
+}
+
+// release gives up everything that this host holds for the others.
+func (e *Entry) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := e.slots.Close(ctx); err != nil {
+		e.log.Warn("quota slots were not given back", "error", err.Error())
+	}
+	if err := e.leases.Close(ctx); err != nil {
+		e.log.Warn("lease was not released", "error", err.Error())
 	}
+	e.claims.Close(ctx)
 }
 
 // followConfig keeps the sessions to agents in line with the configuration.
--- a/internal/node/entrystate.go
+++ b/internal/node/entrystate.go
@@ -4,23 +4,29 @@
 func (e *Entry) publish() {
 	stats := e.callers.Stats()
 	gauges := map[string]func() int64{
-		"requests":      stats.Requests.Load,
-		"refused":       stats.Refused.Load,
-		"unknown":       stats.Unknown.Load,
-		"tokens":        stats.Tokens.Load,
-		"retries":       stats.Retries.Load,
-		"resumed":       stats.Resumed.Load,
-		"truncated":     stats.Truncated.Load,
-		"split":         stats.Split.Load,
-		"split_failed":  stats.SplitFailed.Load,
-		"callers_gone":  stats.Gone.Load,
-		"replayed":      stats.Replayed.Load,
-		"open_requests": e.callers.Open,
-		"rpc_late":      e.rpcStats.Late.Load,
-		"rpc_crossed":   e.rpcStats.Crossed.Load,
-		"rpc_silent":    e.rpcStats.Silent.Load,
-		"rpc_broken":    e.rpcStats.Broken.Load,
-		"slow_callers":  e.rpcStats.SlowCallers.Load,
+		"requests":       stats.Requests.Load,
+		"refused":        stats.Refused.Load,
+		"unknown":        stats.Unknown.Load,
+		"tokens":         stats.Tokens.Load,
+		"retries":        stats.Retries.Load,
+		"resumed":        stats.Resumed.Load,
+		"truncated":      stats.Truncated.Load,
+		"split":          stats.Split.Load,
+		"split_failed":   stats.SplitFailed.Load,
+		"callers_gone":   stats.Gone.Load,
+		"replayed":       stats.Replayed.Load,
+		"open_requests":  e.callers.Open,
+		"usage_dropped":  e.recorder.Dropped,
+		"usage_writes":   e.keepers.Stats().Writes.Load,
+		"usage_sealed":   e.keepers.Stats().Sealed.Load,
+		"usage_reported": e.keepers.Stats().Reported.Load,
+		"lease_calls":    e.leases.Stats().Calls.Load,
+		"lease_failures": e.leases.Stats().Failures.Load,
+		"rpc_late":       e.rpcStats.Late.Load,
+		"rpc_crossed":    e.rpcStats.Crossed.Load,
+		"rpc_silent":     e.rpcStats.Silent.Load,
+		"rpc_broken":     e.rpcStats.Broken.Load,
+		"slow_callers":   e.rpcStats.SlowCallers.Load,
 	}
 	for name, read := range gauges {
 		e.registry.NewGauge(name, func() any { return read() })
@@ -28,6 +34,13 @@
 	e.registry.RegisterState("config", func() any { return e.configState() })
 	e.registry.RegisterState("hosts", func() any { return e.directory.Peers() })
 	e.registry.RegisterState("endpoints", func() any { return e.fleet.States() })
+	e.registry.RegisterState("pieces", func() any { return e.leases.Pieces() })
+	e.registry.RegisterState("holders", func() any { return e.holders.All() })
+	e.registry.RegisterState("quota_slots", func() any { return e.slots.Counts() })
+	e.registry.RegisterState("quota", func() any { return e.quota.Stats() })
+	e.registry.RegisterState("roles", func() any { return e.roles.States() })
+	e.registry.RegisterState("pools", func() any { return e.pools.States() })
+	e.registry.RegisterState("router", func() any { return e.router.Candidates() })
 	e.registry.RegisterState("queues", func() any { return e.queues.Stats() })
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,5 +12,11 @@
 	if m.Config != nil {
 		answer.Config = e.config.HandleExchange(m.Config)
 	}
+	if m.Quota != nil {
+		answer.Quota = e.quota.HandleQuota(m.Quota, m.From)
+	}
+	if m.Usage != nil {
+		answer.Usage = e.keepers.HandleUsage(m.Usage)
+	}
 	return answer, nil
 }
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -2,25 +2,46 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/acacialink/acacialink/internal/entry"
+	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/quota"
 	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
-// buildQuota makes the limiter. Until shards have owners by lease, a host
-// limits only what it serves itself.
+func quotaPiece(shard int) string { return "quota/" + strconv.Itoa(shard) }
+
+// buildQuota makes the limiter: the base parts are owned by slots, which hold
+// through an outage of the store, and the rest by leases.
 func (e *Entry) buildQuota() {
+	e.slots = quota.NewSlots(quota.SlotConfig{
+		Host:        e.settings.Name,
+		Incarnation: e.incarnation,
+		Store:       e.store,
+		Hosts:       e.hostList,
+		Fresh:       e.fresh,
+	})
+	settings := quota.DefaultSettings()
+	settings.BasePercent = int64(e.settings.Quota.BasePercent)
 	e.quota = quota.New(quota.Config{
-		Settings:    quota.DefaultSettings(),
+		Settings:    settings,
 		Host:        e.settings.Name,
 		Incarnation: e.incarnation,
 		Limits:      e.limits,
-		Base:        quota.Sole{Host: e.settings.Name},
-		Surplus:     quota.Sole{Host: e.settings.Name},
+		Base:        e.slots,
+		Surplus:     surplus{e.leases, e.holders},
+		Peers:       e.directory,
 	})
 }
 
+// fresh says whether this host may act on its configuration.
+func (e *Entry) fresh() bool {
+	_, err := e.config.Use()
+	return err == nil
+}
+
 // limits are the rate and burst in force of a workspace.
 func (e *Entry) limits(workspace string) (quota.Limit, bool) {
 	spec, ok := e.config.Current().Workspace(workspace)
@@ -29,6 +50,35 @@
 
 func (e *Entry) runQuota(ctx context.Context) { _ = e.quota.Run(ctx) }
 
+func (e *Entry) runSlots(ctx context.Context) { _ = e.slots.Run(ctx) }
+
+// surplus is the ownership of the parts that go by lease.
+type surplus struct {
+	leases  *lease.Set
+	holders *lease.Directory
+}
+
+// Owner implements quota.Ownership.
+func (s surplus) Owner(shard int) (string, int64, bool) {
+	h, ok := s.holders.Owner(quotaPiece(shard))
+	return h.Host, h.Fence, ok
+}
+
+// Owned implements quota.Ownership.
+func (s surplus) Owned(shard int) (quota.Tenure, bool) {
+	fence, _, ok := s.leases.Held(quotaPiece(shard))
+	return quota.Tenure{Fence: fence}, ok
+}
+
+// ExchangeQuota implements quota.Peers.
+func (d *directory) ExchangeQuota(ctx context.Context, host string, part *wire.QuotaPart) (*wire.QuotaPart, error) {
+	answer, err := d.Exchange(ctx, host, &wire.PeerMessage{From: d.host, Quota: part})
+	if err != nil {
+		return nil, err
+	}
+	return answer.Quota, nil
+}
+
 // quotaGate is the limiter as the callers' server uses it.
 type quotaGate struct{ limiter *quota.Limiter }
 
@@ -36,9 +86,3 @@
 func (q quotaGate) Reserve(ctx context.Context, workspace string, spec resource.WorkspaceSpec, tokens int64) (entry.Reservation, error) {
 	return q.limiter.Reserve(ctx, workspace, spec.RateTokens, spec.BurstTokens, tokens)
 }
-
-// noUsage drops usage figures.
-type noUsage struct{}
-
-// Add implements entry.Usage.
-func (noUsage) Add(string, string, int64, int64, int64, int64) {}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -15,5 +15,8 @@
 	if len(view.Endpoints()) > 0 && len(e.fleet.States()) == 0 {
 		return false, "no endpoint is connected"
 	}
+	if len(e.slots.Counts()) == 0 {
+		return false, "no quota shard has an owner"
+	}
 	return true, ""
 }
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -120,6 +120,20 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+	var err error
+	for range closeTries {
+		if err = s.giveBack(ctx); err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+// closeTries bounds the writes of Close: hosts that stop together write the
+// same table.
+const closeTries = 16
+
+func (s *Slots) giveBack(ctx context.Context) error {
 	if err := s.read(ctx); err != nil {
 		return err
 	}
