--- a/internal/replay/options.go
+++ b/internal/replay/options.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,6 +95,11 @@
 	if len(o.Entries) == 0 {
 		return o, errors.New("replay: no entry hosts are given")
 	}
+	for _, entry := range o.Entries {
+		if u, err := url.Parse(entry); err != nil || u.Host == "" {
+			return o, errors.Errorf("replay: entry host %q is no URL", entry)
+		}
+	}
 	if o.Scale < 0 || len(t.Requests) == 0 {
 		return o, errors.New("replay: the scale must not be negative, the trace not empty")
 	}
--- a/internal/replay/plot.go
+++ b/internal/replay/plot.go
@@ -17,6 +17,8 @@
 	plotWidth  = 9 * vg.Inch
 	plotHeight = 4 * vg.Inch
 	barWidth   = 18
+	// barMargin is the room beside the outer bars, in distances of bars.
+	barMargin = 0.6
 )
 
 // Colours of the lines of several results.
@@ -71,6 +73,8 @@
 		p.Legend.Add(r.Name, line)
 	}
 	p.Add(plotter.NewGrid())
+	p.Y.Max *= 1.1 // Room for the legend.
+	p.Legend.Top = true
 	return save(p, path)
 }
 
@@ -98,6 +102,9 @@
 		p.Legend.Add(r.Name, bars)
 	}
 	p.NominalX(names...)
+	p.X.Min, p.X.Max = -barMargin, float64(len(names)-1)+barMargin
+	p.Y.Max = 1.1 // Room for the legend.
+	p.Legend.Top = true
 	return save(p, path)
 }
 
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -18,7 +18,8 @@
 	Classes     GroupByKey `json:"classes"`
 	Workspaces  GroupByKey `json:"workspaces"`
 	Routes      GroupByKey `json:"routes"`
-	// Worst is the workspace with the lowest goodput of its chats.
+	// Worst is the workspace with the lowest goodput of its chats among those
+	// that are not OverRate.
 	Worst Worst `json:"worst"`
 	// Failures counts answers that were not whole by their code.
 	Failures map[string]int `json:"failures"`
@@ -54,7 +55,14 @@
 	Whole   int     `json:"whole"`
 	// Broken answers began and did not end as they should.
 	Broken int `json:"broken"`
-	// Refused requests did not run; RefusedWithin are those within the rate.
+	// OverRate is true for a workspace that sent more than its rate, beyond
+	// single requests. Which of its requests the system should refuse is
+	// open, so it is judged by RateServed: the tokens of its good answers of
+	// those that its rate allowed, at most 1.
+	OverRate   bool    `json:"over_rate,omitempty"`
+	RateServed float64 `json:"rate_served"`
+	// Refused requests did not run; RefusedWithin are those within the rate
+	// of workspaces that are not OverRate.
 	Refused       int `json:"refused"`
 	RefusedWithin int `json:"refused_within"`
 	// RefusedWithinShare is RefusedWithin of Within.
--- a/internal/replay/runner.go
+++ b/internal/replay/runner.go
@@ -74,7 +74,7 @@
 		}
 		r.samples[i] = Sample{
 			Index: i, At: ms(scaled(request.At, r.opts.Scale)), Workspace: workspace,
-			Route: request.Route, Class: request.class(), Within: within[i],
+			Route: request.Route, Class: request.class(), Within: within[i], Size: request.tokens(),
 		}
 	}
 }
--- a/internal/replay/sample.go
+++ b/internal/replay/sample.go
@@ -32,7 +32,12 @@
 	// Good is true when the answer was whole and in time.
 	Good bool `json:"good"`
 
+	// Size is the request's tokens, of the prompt and of the whole answer.
+	Size int64 `json:"size_tokens"`
+
 	gaps []float64
+	// overRate is true when the workspace sent more than its rate.
+	overRate bool
 }
 
 // refused says whether the system refused the request and nothing ran.
--- a/internal/replay/summarize.go
+++ b/internal/replay/summarize.go
@@ -20,6 +20,9 @@
 type tally struct {
 	group                 Group
 	first, between, total *hdrhistogram.Histogram
+	// goodTokens and withinTokens are sizes of good requests and of those
+	// within the rate.
+	goodTokens, withinTokens int64
 }
 
 func newTally() *tally {
@@ -48,15 +51,7 @@
 	default:
 		g.Failed++
 	}
-	if s.Within {
-		g.Within++
-		if s.Good {
-			g.Good++
-		}
-		if s.refused() {
-			g.RefusedWithin++
-		}
-	}
+	t.addWithin(s)
 	if s.Whole {
 		record(t.total, s.Total)
 	}
@@ -68,6 +63,24 @@
 	}
 }
 
+// addWithin counts what concerns the workspace's rate.
+func (t *tally) addWithin(s *Sample) {
+	if s.Good {
+		t.goodTokens += s.Size
+	}
+	if !s.Within {
+		return
+	}
+	t.group.Within++
+	t.withinTokens += s.Size
+	if s.Good {
+		t.group.Good++
+	}
+	if s.refused() && !s.overRate {
+		t.group.RefusedWithin++
+	}
+}
+
 // close computes the shares and percentiles.
 func (t *tally) close(seconds float64) Group {
 	g := t.group
@@ -75,6 +88,9 @@
 		g.Goodput = float64(g.Good) / float64(g.Within)
 		g.RefusedWithinShare = float64(g.RefusedWithin) / float64(g.Within)
 	}
+	if t.withinTokens > 0 {
+		g.RateServed = min(1, float64(t.goodTokens)/float64(t.withinTokens))
+	}
 	g.TokensPerSecond = float64(g.Tokens) / seconds
 	g.First, g.Between, g.Total = percentiles(t.first), percentiles(t.between), percentiles(t.total)
 	return g
@@ -106,6 +122,7 @@
 
 // summarize computes the result of a replay.
 func summarize(t *Trace, o Options, samples []Sample, start time.Time, took time.Duration) *Result {
+	over := markOverRate(samples)
 	chats, calls, lag := newTally(), newTally(), newTimes()
 	classes, workspaces, routes := tallies{}, tallies{}, tallies{}
 	failures := make(map[string]int)
@@ -133,6 +150,11 @@
 		Failures: failures, Lag: percentiles(lag),
 		Timeline: timeline(samples, scaled(t.Duration(), o.Scale)),
 	}
+	for name := range over {
+		if g := result.Workspaces[name]; g != nil {
+			g.OverRate = true
+		}
+	}
 	result.Worst = worst(result.Workspaces)
 	return result
 }
@@ -149,13 +171,39 @@
 	return route
 }
 
+// overRateShare is the share of requests past the rate from which a workspace
+// counts as one that sends more than its rate.
+const overRateShare = 0.01
+
+// markOverRate finds the workspaces that sent more than their rate and marks
+// their samples.
+func markOverRate(samples []Sample) map[string]bool {
+	sent, past := make(map[string]int), make(map[string]int)
+	for i := range samples {
+		sent[samples[i].Workspace]++
+		if !samples[i].Within {
+			past[samples[i].Workspace]++
+		}
+	}
+	over := make(map[string]bool)
+	for name, n := range past {
+		if float64(n) > overRateShare*float64(sent[name]) {
+			over[name] = true
+		}
+	}
+	for i := range samples {
+		samples[i].overRate = over[samples[i].Workspace]
+	}
+	return over
+}
+
 // worst returns the workspace with the lowest goodput among those that sent
-// anything within their rate.
+// anything and kept their rate.
 func worst(groups GroupByKey) Worst {
 	var w Worst
 	for name, g := range groups {
 		lower := w.Workspace == "" || g.Goodput < w.Goodput || g.Goodput == w.Goodput && name < w.Workspace
-		if g.Within > 0 && lower {
+		if g.Within > 0 && !g.OverRate && lower {
 			w = Worst{Workspace: name, Goodput: g.Goodput}
 		}
 	}
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -26,6 +26,11 @@
 		fmt.Fprintf(w, "role changes\t%d\nendpoint hours\t%.2f\nlate reports\t%d\nwrong reports\t%d\n",
 			f.RoleChanges, f.EndpointSeconds/3600, f.LateReports, f.WrongReports)
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Workspaces)) {
+		if g := r.Workspaces[name]; g.OverRate {
+			fmt.Fprintf(w, "over its rate: %s\tserved %.4f of its rate\n", name, g.RateServed)
+		}
+	}
 	for _, code := range slices.Sorted(maps.Keys(r.Failures)) {
 		fmt.Fprintf(w, "not whole: %s\t%d\n", code, r.Failures[code])
 	}
