demo: print the address of the store stand-in

Cause: a newcomer who wants to see a store outage needs its address. Change: the welcome names it. Ruled out: a command of the demo for each fault; the stand-in has its own switches.

--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -103,7 +103,8 @@
 	for _, e := range s.Entries {
 		fmt.Fprintf(out, "callers http://%s   operators http://%s\n", e.CallerAddr(), e.OperatorAddr())
 	}
-	fmt.Fprintf(out, "operator token: %s\n\n", OperatorToken)
+	fmt.Fprintf(out, "operator token: %s\n", OperatorToken)
+	fmt.Fprintf(out, "store stand-in %s (faults: docs/standins.md)\n\n", s.Deployment.Store.URL())
 	fmt.Fprintf(out, "Send a request:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", address, keys["residents"])
 	fmt.Fprintf(out, "    -d '{\"model\":\"lantern\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"A float for two?\"}]}'\n\n")
 }
