--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -267,3 +267,27 @@
 		is.Equal(len(f.hosts[0].holder.Current().Voters().All()), 5)
 	})
 }
+
+// One change that is larger than a message and a segment reaches every host by
+// pages, from the store and from peers.
+func TestBulkChangeReachesAllHostsByPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 14, 1, flaws{})
+		f.start()
+		time.Sleep(warmUp)
+		var items []Item
+		for i := range 8000 {
+			items = append(items, item("workspace", fmt.Sprintf("w%05d", i), map[string]any{"rate_tokens": i}))
+		}
+		o, err := f.change(f.hosts[0], func(*View) (Change, error) { return Change{Items: items}, nil })
+		is.NoErr(err)
+		is.True(o.Accepted)
+		time.Sleep(3 * time.Second)
+		for _, n := range f.hosts {
+			is.Equal(n.holder.Current().Count("workspace"), 8000)
+			is.True(n.holder.Fresh(time.Now()))
+		}
+		f.stopAll()
+	})
+}
--- a/internal/snapshot/figures_test.go
+++ b/internal/snapshot/figures_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/standin/kv"
 )
 
 // traffic is what hosts send to each other, a second.
@@ -257,3 +260,50 @@
 		h.HandleExchange(part)
 	}
 }
+
+// BenchmarkDuties decides a host's part in a fleet of 370 hosts, once a round.
+func BenchmarkDuties(b *testing.B) {
+	f := newFleet(nil, 370, 14, flaws{})
+	live := f.directory()
+	voters := VoterList{Hosts: chooseVoters(nil, live)}
+	for b.Loop() {
+		dutiesOf("host-017", "domain-03", live, voters)
+	}
+}
+
+// BenchmarkAppend accepts one change in a log of 28,000 workspaces, folds
+// included, and reports the store's calls.
+func BenchmarkAppend(b *testing.B) {
+	store := kv.New(kv.Options{})
+	l := newTestLog(store)
+	full := fullView(28000)
+	s, _, err := l.Append(b.Context(), Empty(), func(*View) (Change, error) {
+		c := Change{}
+		for _, kind := range []resource.Kind{resource.KindWorkspace, resource.KindKey} {
+			for _, r := range full.List(kind) {
+				c.Items = append(c.Items, Item{Resource: r})
+			}
+		}
+		return c, nil
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	before := store.Counts()
+	v, changes := s.View, 0
+	for b.Loop() {
+		name := fmt.Sprintf("workspace-%05d", changes%28000)
+		changes++
+		s, _, err := l.Append(b.Context(), v, func(v *View) (Change, error) {
+			r, _ := v.Get(resource.KindWorkspace, name)
+			return Change{Items: []Item{{Resource: r}}}, nil
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		v = s.View
+	}
+	after := store.Counts()
+	b.ReportMetric(float64(after.Writes()-before.Writes())/float64(changes), "writes/change")
+	b.ReportMetric(float64(after.Reads()-before.Reads())/float64(changes), "reads/change")
+}
--- a/internal/snapshot/freshness_test.go
+++ b/internal/snapshot/freshness_test.go
@@ -68,6 +68,24 @@
 		f.split(side)
 	case "heal":
 		f.split(nil)
+	case "isolate":
+		// One side of the partition has no store either.
+		f.apply(step{kind: "split", mask: s.mask}, index)
+		for i, n := range f.hosts {
+			f.store.Client(n.name).SetSilent(s.mask>>i&1 == 1)
+		}
+	case "heal all":
+		f.split(nil)
+		f.store.SetSilent(false)
+		for _, n := range f.hosts {
+			f.store.Client(n.name).SetSilent(false)
+		}
+	case "restart group":
+		for i, n := range f.hosts {
+			if s.mask>>i&1 == 1 {
+				f.restart(n)
+			}
+		}
 	case "pause":
 		f.pause(n, s.wait*4)
 	case "unlist":
@@ -81,10 +99,11 @@
 
 func drawSteps(rt *rapid.T) []step {
 	kinds := []string{
-		"change", "change", "change", "store down", "store up", "lose answers", "cut host from store",
-		"join host to store", "split", "heal", "pause", "restart", "unlist", "list",
+		"change", "change", "change", "change", "store down", "store down", "store up", "lose answers",
+		"cut host from store", "join host to store", "split", "split", "heal", "isolate", "isolate", "heal all",
+		"pause", "restart", "restart group", "unlist", "list",
 	}
-	waits := []time.Duration{0, 30 * time.Millisecond, 300 * time.Millisecond, 1300 * time.Millisecond, 4 * time.Second, 11 * time.Second}
+	waits := []time.Duration{0, 30 * time.Millisecond, 300 * time.Millisecond, 1300 * time.Millisecond, 4 * time.Second, 4 * time.Second, 11 * time.Second}
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 		return step{
 			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"),
