--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -37,16 +37,20 @@
 }
 
 // freshness samples the hosts for d and returns the share of samples in which
-// each one was fresh.
+// each one was fresh. It leaves the highest age in oldest.
 func (f *fleet) freshness(d time.Duration) map[string]float64 {
 	const step = 100 * time.Millisecond
 	count := map[string]float64{}
+	f.oldest = 0
 	samples := int(d / step)
 	for range samples {
 		for _, n := range f.hosts {
 			if n.holder.Fresh(time.Now()) {
 				count[n.name]++
 			}
+			if age, ok := n.holder.Age(); ok {
+				f.oldest = max(f.oldest, age)
+			}
 		}
 		time.Sleep(step)
 	}
--- a/internal/snapshot/figures_test.go
+++ b/internal/snapshot/figures_test.go
@@ -38,6 +38,8 @@
 	// the share of the time in which the worst host is fresh then.
 	outage      traffic
 	outageFresh float64
+	// oldest and outageOldest are the highest ages of any host.
+	oldest, outageOldest time.Duration
 }
 
 func (f *fleet) resetCounts() {
@@ -80,11 +82,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, hosts, domains, flaws{})
+		f.delay = *peerDelay
 		f.start()
 		time.Sleep(warmUp)
 		f.resetCounts()
 		before := f.store.Counts()
-		time.Sleep(time.Minute)
+		f.freshness(time.Minute)
+		s.oldest = f.oldest
 		after := f.store.Counts()
 		s.reads, s.writes = after.Reads()-before.Reads(), after.Writes()-before.Writes()
 		s.normal = f.traffic(time.Minute)
@@ -93,18 +97,21 @@
 			s.everywhere = max(s.everywhere, f.untilEverywhere(is, fmt.Sprint("w", i)))
 		}
 		f.store.SetSilent(true)
-		time.Sleep(10 * time.Second)
 		f.resetCounts()
 		s.outageFresh = 1
 		for _, share := range f.freshness(time.Minute) {
 			s.outageFresh = min(s.outageFresh, share)
 		}
+		s.outageOldest = f.oldest
 		s.outage = f.traffic(time.Minute)
 		f.stopAll()
 	})
 	return s
 }
 
+// peerDelay is the one-way delay between hosts in TestSpreadFigures.
+var peerDelay = flag.Duration("delay", linkDelay, "one-way delay between hosts")
+
 // extraHosts adds a fleet of that size in 14 domains to TestSpreadFigures.
 var extraHosts = flag.Int("hosts", 0, "measure the spread in a fleet of this many hosts too")
 
@@ -126,8 +133,8 @@
 		is := is.New(t)
 		s := measureSpread(t, size.hosts, size.domains)
 		t.Logf("hosts=%d domains=%d reads/min=%d writes/min=%d everywhere=%s", size.hosts, size.domains, s.reads, s.writes, s.everywhere)
-		t.Logf("  normal: %s", s.normal)
-		t.Logf("  outage: %s fresh=%.3f", s.outage, s.outageFresh)
+		t.Logf("  normal: %s oldest=%s", s.normal, s.oldest)
+		t.Logf("  outage: %s oldest=%s fresh=%.3f", s.outage, s.outageOldest, s.outageFresh)
 		is.True(s.reads < readsPerMinute)
 		is.True(s.everywhere < size.everywhere)
 		is.Equal(s.outageFresh, 1.0)
--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -20,7 +20,7 @@
 // checkInterval is the time between two checks of the promises.
 const checkInterval = 20 * time.Millisecond
 
-// linkDelay is the one-way delay between two hosts.
+// linkDelay is the one-way delay between two hosts, unless a test says otherwise.
 const linkDelay = time.Millisecond
 
 // fleet is a set of hosts on one stand-in store, in virtual time.
@@ -29,6 +29,11 @@
 	store *kv.Store
 	flaws flaws
 
+	// oldest is the highest age that freshness has seen.
+	oldest time.Duration
+	// delay is the one-way delay between two hosts.
+	delay time.Duration
+
 	mu sync.Mutex
 	// hosts are in a fixed order; side splits them in a partition.
 	hosts []*node
@@ -58,7 +63,7 @@
 }
 
 func newFleet(t *testing.T, hosts, domains int, f flaws) *fleet {
-	fl := &fleet{t: t, store: kv.New(kv.Options{}), flaws: f, side: map[string]int{}, gone: map[string]bool{}, sent: map[string]int{}, messages: map[string]int{}}
+	fl := &fleet{t: t, store: kv.New(kv.Options{}), delay: linkDelay, flaws: f, side: map[string]int{}, gone: map[string]bool{}, sent: map[string]int{}, messages: map[string]int{}}
 	for i := range hosts {
 		fl.hosts = append(fl.hosts, &node{name: fmt.Sprintf("host-%03d", i), domain: fmt.Sprintf("domain-%02d", i%domains)})
 	}
@@ -229,7 +234,7 @@
 func (p *hostPeers) Exchange(ctx context.Context, peer string, m *wire.PeerMessage) (*wire.PeerMessage, error) {
 	defer p.fleet.waitPause(p.node)
 	p.fleet.count(p.node.name, m)
-	time.Sleep(linkDelay)
+	time.Sleep(p.fleet.delay)
 	h := p.fleet.route(p.node, peer)
 	if h == nil {
 		<-ctx.Done()
@@ -237,7 +242,7 @@
 	}
 	answer := &wire.PeerMessage{From: peer, Config: h.HandleExchange(proto.Clone(m).(*wire.PeerMessage).GetConfig())}
 	p.fleet.count(peer, answer)
-	time.Sleep(linkDelay)
+	time.Sleep(p.fleet.delay)
 	if p.fleet.route(p.node, peer) == nil {
 		<-ctx.Done()
 		return nil, errCut
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -15,7 +15,7 @@
 
 // FreshFor is how long a host may use its configuration after the moment at
 // which it is known to have been the accepted one.
-const FreshFor = 3500 * time.Millisecond
+const FreshFor = 2800 * time.Millisecond
 
 // PeerCaller sends a message to another entry host, by its name, and returns
 // the answer.
--- a/internal/snapshot/tracker.go
+++ b/internal/snapshot/tracker.go
@@ -11,7 +11,7 @@
 
 // InForceMargin is what the bound of InForce adds to FreshFor for clocks that
 // run at different rates.
-const InForceMargin = 500 * time.Millisecond
+const InForceMargin = 200 * time.Millisecond
 
 // Bounds of the questions that a status asks.
 const (
