--- a/internal/opsapi/auth.go
+++ b/internal/opsapi/auth.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
-	"strings"
+
+	"github.com/acacialink/acacialink/internal/observe"
 )
 
 type operatorKey struct{}
@@ -17,7 +15,7 @@
 // guard lets operators through and writes the errors of the handler.
 func (s *server) guard(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		name, ok := s.authenticate(r)
+		name, ok := s.operators.Operator(r)
 		if !ok {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			s.writeError(w, r, refuse(http.StatusUnauthorized, "unauthorized", "an operator's bearer token is required"))
@@ -30,22 +28,19 @@
 	}
 }
 
-// authenticate returns the operator whose token came with the request. It
-// compares hashes of equal length in constant time, all of them each time.
-func (s *server) authenticate(r *http.Request) (string, bool) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || token == "" {
-		return "", false
+// newAuthenticator returns what tells operators. Operators whose hash is not
+// one let nobody through.
+func newAuthenticator(o Options) *observe.Authenticator {
+	list := make([]observe.Operator, len(o.Operators))
+	for i, operator := range o.Operators {
+		list[i] = observe.Operator(operator)
 	}
-	sum := sha256.Sum256([]byte(token))
-	digest := []byte(hex.EncodeToString(sum[:]))
-	name, found := "", false
-	for _, o := range s.o.Operators {
-		if subtle.ConstantTimeCompare(digest, []byte(o.TokenSHA256)) == 1 {
-			name, found = o.Name, true
-		}
+	a, err := observe.NewAuthenticator(list)
+	if err != nil {
+		o.Logger.Error("operators are not usable", "error", err.Error())
+		return &observe.Authenticator{}
 	}
-	return name, found
+	return a
 }
 
 func operatorOf(ctx context.Context) string {
--- /dev/null
+++ b/internal/opsapi/docs_test.go
@@ -0,0 +1,43 @@
+package opsapi_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/opsapi"
+	"github.com/acacialink/acacialink/internal/resource"
+)
+
+var jsonBlock = regexp.MustCompile("(?s)```json\n(.*?)```")
+
+// The examples of the operators' page are accepted as one change, and there
+// is one of each kind.
+func TestExamplesOfThePageAreAccepted(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/resources.md")
+	is.NoErr(err)
+	var list []resource.Resource
+	kinds := map[resource.Kind]bool{}
+	for _, block := range jsonBlock.FindAllSubmatch(page, -1) {
+		d := json.NewDecoder(strings.NewReader(string(block[1])))
+		for d.More() {
+			var r resource.Resource
+			is.NoErr(d.Decode(&r))
+			list = append(list, r)
+			kinds[r.Kind] = true
+		}
+	}
+	is.Equal(len(kinds), len(resource.Kinds()))
+	body, err := json.Marshal(list)
+	is.NoErr(err)
+	b := newBench(t)
+	var answer opsapi.ChangeAnswer
+	b.expect(http.StatusOK, http.MethodPost, "/v1/apply", string(body), &answer)
+	is.Equal(len(answer.Results), len(list))
+}
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
+
+	"github.com/acacialink/acacialink/internal/observe"
 )
 
 // Paths of the interface.
@@ -19,9 +21,10 @@
 
 // server holds what the handlers share.
 type server struct {
-	o        Options
-	changes  chan struct{}
-	watchers chan struct{}
+	o         Options
+	operators *observe.Authenticator
+	changes   chan struct{}
+	watchers  chan struct{}
 }
 
 // New returns the handler of the operators' interface.
@@ -29,7 +32,12 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	s := &server{o: o, changes: make(chan struct{}, maxChanges), watchers: make(chan struct{}, maxWatchers)}
+	s := &server{
+		o:         o,
+		operators: newAuthenticator(o),
+		changes:   make(chan struct{}, maxChanges),
+		watchers:  make(chan struct{}, maxWatchers),
+	}
 	r := mux.NewRouter()
 	r.HandleFunc(pathResources, s.guard(s.list)).Methods(http.MethodGet)
 	r.HandleFunc(pathResources, s.guard(s.create)).Methods(http.MethodPost)
