--- a/internal/snapshot/builder.go
+++ b/internal/snapshot/builder.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 
-	"github.com/pkg/errors"
-
 	"github.com/acacialink/acacialink/internal/resource"
 )
 
@@ -65,9 +63,8 @@
 		b.endpointsChanged = true
 	case resource.KindPolicy:
 		return b.policy(r, deleted)
-	default:
-		return errors.Wrapf(ErrEncoding, "kind %q", r.Kind)
 	}
+	// A kind that this version does not know is held for those that do.
 	return nil
 }
 
--- a/internal/snapshot/exchange.go
+++ b/internal/snapshot/exchange.go
@@ -55,6 +55,7 @@
 			err = h.take(ctx, peer, answer)
 		}
 		if err != nil {
+			h.counts.failed.Add(1)
 			h.o.Logger.Debug("configuration not confirmed", "peer", peer, "error", err.Error())
 			return false
 		}
@@ -70,6 +71,7 @@
 		asOf := sent.minus(time.Duration(answer.GetFreshAgeUs()) * time.Microsecond)
 		h.confirm(asOf, resource.Revision(answer.GetRevision()))
 		h.qualify(asOf)
+		h.counts.peer.Add(1)
 		return asOf.age(h.o.Clock.now()) < FreshFor
 	}
 	return false
--- a/internal/snapshot/freshness_test.go
+++ b/internal/snapshot/freshness_test.go
@@ -176,6 +176,19 @@
 				{kind: "split", mask: 0b00001, wait: 3 * long},
 			},
 		},
+		{
+			// Three hosts are cut off together, two of them wrongly taken for
+			// gone. They are a majority of the old list, and the others one of
+			// the new.
+			name: "replacing voters at once", flaws: flaws{replaceAtOnce: true},
+			steps: []step{
+				{kind: "change", host: 3, wait: long},
+				{kind: "unlist", host: 0},
+				{kind: "unlist", host: 1},
+				{kind: "isolate", mask: 0b00111, wait: 6 * long},
+				{kind: "change", host: 3, wait: 2 * long},
+			},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -64,6 +64,7 @@
 	cursor      Cursor
 	cursorMu    sync.Mutex
 	wake        chan struct{}
+	counts      confirmations
 	flaws       flaws
 
 	// mu guards the fields below and orders installs.
@@ -84,6 +85,8 @@
 	vouchAtOnce bool
 	// acceptAtCommit answers a change as accepted without a majority.
 	acceptAtCommit bool
+	// replaceAtOnce replaces the voters without a list that holds both.
+	replaceAtOnce bool
 }
 
 // NewHolder returns a holder with the empty view, which is not fresh.
--- a/internal/snapshot/majority.go
+++ b/internal/snapshot/majority.go
@@ -78,6 +78,7 @@
 	}
 	h.confirm(asOf, highest)
 	h.qualify(asOf)
+	h.counts.majority.Add(1)
 	return true
 }
 
--- a/internal/snapshot/page.go
+++ b/internal/snapshot/page.go
@@ -5,6 +5,8 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -42,7 +44,7 @@
 func groupItems(v *View) [][]resource.Resource {
 	groups := [][]resource.Resource{nil}
 	size := 0
-	for _, kind := range resource.Kinds() {
+	for _, kind := range slices.Sorted(maps.Keys(v.kinds)) {
 		for _, r := range v.kinds[kind].all() {
 			n := itemBytes(r)
 			if size+n > maxPageRawBytes && size > 0 {
--- a/internal/snapshot/round.go
+++ b/internal/snapshot/round.go
@@ -31,9 +31,11 @@
 	defer wg.Wait()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	fresh := false
 	for {
 		h.round(ctx)
 		h.pages.expire()
+		fresh = h.logFreshness(fresh)
 		select {
 		case <-ctx.Done():
 			return
@@ -43,6 +45,20 @@
 	}
 }
 
+// logFreshness logs when the host became fresh or ceased to be, and returns
+// which it is.
+func (h *Holder) logFreshness(before bool) bool {
+	fresh := h.Fresh(time.Now())
+	revision := int64(h.Current().revision)
+	switch {
+	case fresh && !before:
+		h.o.Logger.Info("configuration is confirmed", "revision", revision)
+	case !fresh && before:
+		h.o.Logger.Warn("configuration is no longer confirmed; keyed routes are refused", "revision", revision)
+	}
+	return fresh
+}
+
 // round confirms the view once, at the cheapest place that answers.
 func (h *Holder) round(ctx context.Context) {
 	d := dutiesOf(h.o.Host, h.o.Domain, h.o.Directory(), h.Current().Voters())
@@ -81,9 +97,11 @@
 	s, err := h.o.Log.Read(ctx, h.Current(), &h.cursor)
 	h.storeFailed.Store(err != nil)
 	if err != nil {
+		h.counts.failed.Add(1)
 		h.o.Logger.Debug("configuration not confirmed at the store", "error", err.Error())
 		return false
 	}
+	h.counts.store.Add(1)
 	if h.flaws.ageFromAnswer {
 		asOf = h.o.Clock.now()
 	}
--- a/internal/snapshot/upkeep.go
+++ b/internal/snapshot/upkeep.go
@@ -24,27 +24,34 @@
 func (h *Holder) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
+	looks := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		h.upkeep(ctx)
+		looks = h.upkeep(ctx, looks)
 	}
 }
 
-// upkeep looks at the list once. One host at a time does it, and the
-// compare-and-swap of the log keeps two from doing it at once.
-func (h *Holder) upkeep(ctx context.Context) {
+// upkeep looks at the list once and returns how many looks in a row found it
+// in need of a change. The host that ranks first acts at the first look; each
+// other one gives those before it a look more, so that a host which is cut off
+// holds nothing up. The compare-and-swap of the log keeps two from acting at once.
+func (h *Holder) upkeep(ctx context.Context, looks int) int {
 	live := h.o.Directory()
-	ranked := rankHosts("voters", names(live, nil))
-	if h.storeFailed.Load() || len(ranked) == 0 || ranked[0] != h.o.Host {
-		return
+	if _, due := nextVoters(h.Current().voters, live); !due || h.storeFailed.Load() {
+		return 0
+	}
+	rank := slices.Index(rankHosts("voters", names(live, nil)), h.o.Host)
+	if rank < 0 || looks < rank {
+		return looks + 1
 	}
 	if err := h.updateVoters(ctx, live); err != nil {
 		h.o.Logger.Warn("list of voters not updated", "error", err.Error())
 	}
+	return 0
 }
 
 // updateVoters takes one step: it replaces the list, or ends a replacement
@@ -55,6 +62,9 @@
 	if !due {
 		return nil
 	}
+	if h.flaws.replaceAtOnce {
+		next.Previous = nil
+	}
 	if len(v.voters.Previous) > 0 && !h.push(ctx, v.revision) {
 		return nil
 	}
--- a/internal/snapshot/view_test.go
+++ b/internal/snapshot/view_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// During an upgrade, hosts of the older version pass on what they don't know.
+func TestUnknownKindIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	v := apply(is, Empty(), item("novelty", "n", map[string]int{"a": 1}))
+	pages, err := encodePages(v)
+	is.NoErr(err)
+	loaded, err := decodePages(pages)
+	is.NoErr(err)
+	_, ok := loaded.Get("novelty", "n")
+	is.True(ok)
+}
+
 func TestChangeOutOfOrderIsRefused(t *testing.T) {
 	is := is.New(t)
 	_, err := Empty().Apply(Change{Revision: 2})
