replay: a job reads its files, writes results, gives an exit code

Cause: the command needs one call for files of traces, keys, rates and outcomes, results and plots, and an exit code by the stated outcomes. Ruled out: parsing in the command, which tests would not reach; quoting the decoder's error for the file of keys, since it may hold a key. Conclusion: go test -race ./internal/replay passes; a bad trace, keys, resources or outcomes file sends nothing and gives exit code 3.

--- /dev/null
+++ b/internal/replay/job_test.go
@@ -0,0 +1,88 @@
+package replay
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/exit"
+)
+
+// job returns a job against a site whose answers take the given gap between
+// tokens, with keys, rates and outcomes from files.
+func job(t *testing.T, gap time.Duration) *Job {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	s := &site{answer: func(int, *http.Request) (*http.Response, error) { return stream(every(3, gap), done), nil }}
+	return &Job{
+		Trace: write("trace.csv", "TIMESTAMP,ContextTokens,GeneratedTokens\n0,10,3\n1,10,3\n"),
+		Keys: write("keys.hujson", `{"w": "key-w"} // A comment.
+`),
+		Resources: write("resources.hujson", `[{"kind": "workspace", "name": "w", "spec": {"rate_tokens": 5, "burst_tokens": 20}}]`),
+		Outcomes:  write("outcomes.hujson", `{"outcomes": [{"metric": "chats.goodput", "min": 1}]}`),
+		Dir:       filepath.Join(dir, "results"),
+		Options:   Options{Entries: []string{"http://e1"}, Workspace: "w", Model: "m", Client: &http.Client{Transport: s}},
+	}
+}
+
+func TestJobExitCodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out strings.Builder
+		good := job(t, 10*time.Millisecond)
+		code, err := good.Run(t.Context(), &out)
+		is.NoErr(err)
+		is.Equal(code, exit.OK)
+		is.True(strings.Contains(out.String(), "holds"))
+		files, err := filepath.Glob(filepath.Join(good.Dir, "trace.csv-0*"))
+		is.NoErr(err)
+		is.Equal(len(files), 4)
+		loaded, err := LoadResult(filepath.Join(good.Dir, "trace.csv-0.json"))
+		is.NoErr(err)
+		is.Equal(loaded.Workspaces["w"].Within, 1) // 13 tokens each: 20 at the start and 5 a second.
+		is.True(loaded.Checks[0].Holds)
+
+		slow := job(t, 60*time.Millisecond)
+		code, err = slow.Run(t.Context(), &out)
+		is.NoErr(err)
+		is.Equal(code, exit.Failed)
+		out.Reset()
+		path := []string{filepath.Join(good.Dir, "trace.csv-0.json")}
+		is.NoErr(CompareFiles(&out, path, []string{filepath.Join(slow.Dir, "trace.csv-0.json")}))
+		is.True(strings.Contains(out.String(), "chats.goodput"))
+	})
+}
+
+// TestJobRefusesBadFiles breaks each file; nothing may be sent, and no key
+// may show up in an error.
+func TestJobRefusesBadFiles(t *testing.T) {
+	for name, path := range map[string]func(*Job) string{
+		"trace":     func(j *Job) string { return j.Trace },
+		"keys":      func(j *Job) string { return j.Keys },
+		"resources": func(j *Job) string { return j.Resources },
+		"outcomes":  func(j *Job) string { return j.Outcomes },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := job(t, 0)
+			is.NoErr(os.WriteFile(path(j), []byte(`{"w": 5, "x": "sk-secret", "outcomes": 3}`), 0o600))
+			code, err := j.Run(t.Context(), &strings.Builder{})
+			is.Equal(code, exit.Settings)
+			is.True(err != nil)
+			is.True(name != "keys" || !strings.Contains(err.Error(), "sk-secret"))
+			is.Equal(len(j.Options.Client.Transport.(*site).requests), 0)
+		})
+	}
+}
--- a/internal/replay/trace_test.go
+++ b/internal/replay/trace_test.go
@@ -2,17 +2,15 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/tailscale/hujson"
 
 	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/opsclient"
 	"github.com/acacialink/acacialink/internal/platform"
-	"github.com/acacialink/acacialink/internal/resource"
 )
 
 func TestPublishedTrace(t *testing.T) {
@@ -60,21 +58,14 @@
 
 // sampleRates returns the workspaces' rates of a site's sample resources.
 func sampleRates(t *testing.T, source []byte) map[string]Rate {
-	standard, err := hujson.Standardize(bytes.Clone(source))
+	list, err := opsclient.ParseResources(bytes.Clone(source))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var list []resource.Resource
-	if err := json.Unmarshal(standard, &list); err != nil {
+	rates, err := RatesOf(list)
+	if err != nil {
 		t.Fatal(err)
 	}
-	rates := make(map[string]Rate)
-	for _, r := range list {
-		var w resource.WorkspaceSpec
-		if r.Kind == resource.KindWorkspace && json.Unmarshal(r.Spec, &w) == nil {
-			rates[r.Name] = Rate{Tokens: w.RateTokens, Burst: w.BurstTokens}
-		}
-	}
 	return rates
 }
 
