--- a/internal/member/measure_test.go
+++ b/internal/member/measure_test.go
@@ -287,9 +287,10 @@
 	return float64(hops) / float64(lookups)
 }
 
-// fullTable returns a table with the target's records.
-func fullTable() (*Table, time.Time) {
-	const members, endpoints = 370, 5700
+// fullTable returns a table with as many members and the endpoints that belong
+// to them.
+func fullTable(members int) (*Table, time.Time) {
+	endpoints := int(float64(members) * endpointsPerMember)
 	c := newCluster(1, 1, endpoints, 1)
 	t := c.nodes[0].table
 	part := &wire.MemberPart{}
@@ -309,22 +310,24 @@
 	return t, c.now
 }
 
-// BenchmarkTick measures one tick of a table of the target's size.
+// BenchmarkTick measures one tick, the heaviest regular work of a table.
 func BenchmarkTick(b *testing.B) {
-	t, now := fullTable()
-	b.ReportAllocs()
-	for b.Loop() {
-		now = now.Add(time.Second)
-		t.reach.heard(now)
-		t.Tick(now)
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			t, now := fullTable(n)
+			for b.Loop() {
+				now = now.Add(time.Second)
+				t.reach.heard(now)
+				t.Tick(now)
+			}
+		})
 	}
 }
 
 // BenchmarkHandleExchange measures one answer with checksums compared.
 func BenchmarkHandleExchange(b *testing.B) {
-	t, now := fullTable()
+	t, now := fullTable(370)
 	in := &wire.MemberPart{Buckets: append([]uint32(nil), t.sums[:]...)}
-	b.ReportAllocs()
 	for b.Loop() {
 		t.HandleExchange("entry-host-2", in, now)
 	}
@@ -332,7 +335,7 @@
 
 // BenchmarkDistribute measures a new distribution of watches.
 func BenchmarkDistribute(b *testing.B) {
-	t, now := fullTable()
+	t, now := fullTable(370)
 	for b.Loop() {
 		t.mu.Lock()
 		t.distribute(now)
@@ -340,16 +343,20 @@
 	}
 }
 
-// BenchmarkTableMemory reports the heap that a table of the target's size takes.
+// BenchmarkTableMemory reports the heap that a table takes.
 func BenchmarkTableMemory(b *testing.B) {
-	for range b.N {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		t, _ := fullTable()
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
-		runtime.KeepAlive(t)
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				t, _ := fullTable(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+				runtime.KeepAlive(t)
+			}
+		})
 	}
 }
