replay: role changes, endpoint cost and reports from the stand-ins

Change: Standins reads the records of engines, provider and usage sink over HTTP and gives what came since the replay began. Ruled out: importing the stand-ins' types, since replay runs against other processes.

--- /dev/null
+++ b/internal/replay/standins_test.go
@@ -0,0 +1,67 @@
+package replay
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/standin/engine"
+	"github.com/acacialink/acacialink/internal/standin/provider"
+	"github.com/acacialink/acacialink/internal/standin/usagesink"
+)
+
+// TestStandinFigures gives orders and reports to the stand-ins themselves, and
+// reads the figures back over HTTP.
+func TestStandinFigures(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	e := engine.New(engine.Options{Name: "engine-1", Models: []string{"m"}, RoleChange: time.Millisecond})
+	p := provider.New(provider.Options{})
+	sink := usagesink.New(usagesink.Options{})
+	s := Standins{Window: time.Minute, LateAfter: 30 * time.Second, Static: 2}
+	for base, handler := range map[*string]*httptest.Server{
+		&s.Provider:  httptest.NewServer(p.Handler()),
+		&s.UsageSink: httptest.NewServer(sink.Handler()),
+	} {
+		*base = handler.URL
+		t.Cleanup(handler.Close)
+	}
+	engineServer := httptest.NewServer(e.Handler())
+	t.Cleanup(engineServer.Close)
+	s.Engines = []string{engineServer.URL}
+	role := func(id string, r platform.Role) error {
+		return e.Apply(ctx, platform.Order{ID: id, Kind: platform.OrderSetRole, Role: r, Fence: 1})
+	}
+	now := time.Now().UTC()
+	report := func(age time.Duration, body string) error {
+		window := now.Add(-age).Format(time.RFC3339)
+		return sink.Report(ctx, platform.UsageReport{Window: window, Body: []byte(body)})
+	}
+
+	is.NoErr(role("before", platform.RolePrefill))
+	is.NoErr(report(time.Hour, "before"))
+	is.NoErr(s.Begin(ctx))
+	is.NoErr(role("o1", platform.RoleDecode))
+	is.NoErr(role("o1", platform.RoleDecode)) // A repeat.
+	is.NoErr(role("o2", platform.RoleMixed))
+	is.NoErr(report(time.Minute, "in time"))
+	is.NoErr(report(2*time.Minute, "late"))
+	is.NoErr(report(2*time.Minute, "late"))          // A repeat.
+	is.True(report(2*time.Minute, "another") != nil) // A wrong one.
+	_, err := p.Order(ctx, platform.EndpointOrder{ID: "x", Domain: "north", Pool: "engines", Fence: 1})
+	is.NoErr(err)
+
+	f, err := s.Figures(ctx)
+	is.NoErr(err)
+	is.Equal(f.RoleChanges, 2)
+	is.Equal(f.LateReports, 1)
+	is.Equal(f.WrongReports, 1)
+	is.True(f.EndpointSeconds > 0 && f.EndpointSeconds < 60)
+	engineServer.Close()
+	_, err = s.Figures(ctx)
+	is.True(err != nil)
+}
