node: membership in place of the bare host list

Cause: control work and configuration went by the platform's lagging list alone, and a dead host held its pieces until the list dropped it. Change: the membership table spreads hosts and endpoints, agents' own words and lost sessions feed it, sessions follow its watches, an endpoint that is leaving gets no new work. A host is ready only once every quota shard has an owner. Ruled out: readiness with some shards owned.

--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/node"
 	"github.com/acacialink/acacialink/internal/opsclient"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/settings"
@@ -50,6 +51,9 @@
 	}
 	var g errgroup.Group
 	g.Go(func() error { return site.Run(ctx) })
+	if err := site.awaitMembers(ctx); err != nil {
+		return err
+	}
 	if err := site.configure(ctx, resources); err != nil {
 		return errors.Wrap(err, "configure")
 	}
@@ -80,12 +84,25 @@
 // readyInterval is how often the demo looks whether its hosts are ready.
 const readyInterval = 20 * time.Millisecond
 
+// awaitMembers returns once the entry hosts know each other.
+func (s *Site) awaitMembers(ctx context.Context) error {
+	return s.await(ctx, func(e *node.Entry) (bool, string) {
+		n := e.MemberCount()
+		return n == len(s.Entries), fmt.Sprintf("it knows %d entry hosts", n)
+	})
+}
+
 // awaitReady returns once every entry host takes callers.
 func (s *Site) awaitReady(ctx context.Context) error {
+	return s.await(ctx, (*node.Entry).Ready)
+}
+
+// await returns once the condition holds on every entry host.
+func (s *Site) await(ctx context.Context, condition func(*node.Entry) (bool, string)) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for _, e := range s.Entries {
-		for ready, reason := e.Ready(); !ready; ready, reason = e.Ready() {
+		for ok, reason := condition(e); !ok; ok, reason = condition(e) {
 			select {
 			case <-ctx.Done():
 				return errors.Errorf("entry host is not ready: %s", reason)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -210,7 +210,7 @@
 	for _, e := range s.holder.Current().Endpoints() {
 		endpoints = append(endpoints, fleet.Endpoint{Name: e.Name, Spec: e.Spec})
 	}
-	s.fleet.Reconcile(ctx, endpoints)
+	s.fleet.Reconcile(ctx, endpoints, nil)
 }
 
 // awaitLimit ends a test whose condition never comes true.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,8 +33,12 @@
 	Subset route.SubsetSize
 	// RetireTimeout bounds how long a removed endpoint's requests may go on.
 	RetireTimeout time.Duration
-	// Observe hears every state; nil is allowed.
-	Observe func(*wire.AgentState)
+	// Observe hears every state of an endpoint's agent, and nil when the
+	// session to it ends; it may be nil.
+	Observe func(endpoint string, state *wire.AgentState)
+	// Leaving says whether an endpoint is known to be on its way out; it may
+	// be nil.
+	Leaving func(endpoint string) bool
 }
 
 // Fleet holds the sessions of one entry host.
@@ -62,10 +66,11 @@
 // plain service.
 func ServiceModel(service string) string { return "service/" + service }
 
-// Reconcile opens and closes sessions so that they match the endpoints. New
-// sessions end with ctx. It does not wait for connections.
-func (f *Fleet) Reconcile(ctx context.Context, endpoints []Endpoint) {
-	wanted := f.subset(endpoints)
+// Reconcile opens and closes sessions so that the host has them to its subset
+// of the endpoints and to those that it watches. New sessions end with ctx.
+// It does not wait for connections.
+func (f *Fleet) Reconcile(ctx context.Context, endpoints []Endpoint, watched []string) {
+	wanted := f.subset(endpoints, watched)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, l := range f.links {
@@ -84,7 +89,7 @@
 	}
 }
 
-func (f *Fleet) subset(endpoints []Endpoint) map[string]resource.EndpointSpec {
+func (f *Fleet) subset(endpoints []Endpoint, watched []string) map[string]resource.EndpointSpec {
 	specs := make(map[string]resource.EndpointSpec, len(endpoints))
 	targets := make([]route.Target, 0, len(endpoints))
 	for _, e := range endpoints {
@@ -95,6 +100,11 @@
 	for _, name := range route.Subset(f.opts.Host, f.opts.Domain, targets, f.opts.Subset) {
 		wanted[name] = specs[name]
 	}
+	for _, name := range watched {
+		if spec, ok := specs[name]; ok {
+			wanted[name] = spec
+		}
+	}
 	return wanted
 }
 
@@ -129,18 +139,25 @@
 	}
 	if state == nil || state.Endpoint != name {
 		f.opts.Router.Remove(name)
+		f.report(name, nil)
 		return
 	}
+	f.report(name, state)
 	if l.spec.Kind == resource.EndpointService {
 		state.Models = []string{ServiceModel(l.spec.Service)}
 	}
-	state.Draining = state.Draining || l.spec.Draining
+	state.Draining = state.Draining || l.spec.Draining || f.leaving(name)
 	f.opts.Router.Observe(time.Now(), state)
+}
+
+func (f *Fleet) report(name string, state *wire.AgentState) {
 	if f.opts.Observe != nil {
-		f.opts.Observe(state)
+		f.opts.Observe(name, state)
 	}
 }
 
+func (f *Fleet) leaving(name string) bool { return f.opts.Leaving != nil && f.opts.Leaving(name) }
+
 // retireInterval is how often a retiring session is looked at.
 const retireInterval = 20 * time.Millisecond
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -61,6 +61,17 @@
 	return members
 }
 
+// Address returns where an entry host is reached; false if it is not known.
+func (t *Table) Address(name string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[hashName(kindMember, name)]
+	if r == nil {
+		return "", false
+	}
+	return r.address, true
+}
+
 // Endpoint returns what is known of an endpoint; false if nothing is.
 func (t *Table) Endpoint(name string, now time.Time) (Endpoint, bool) {
 	t.mu.Lock()
--- a/internal/node/capacity.go
+++ b/internal/node/capacity.go
@@ -63,20 +63,6 @@
 // besides each change of an endpoint's readiness.
 const capacityInterval = 250 * time.Millisecond
 
-// noteState makes followCapacity look at once when an endpoint is heard for
-// the first time or changes its readiness.
-func (e *Entry) noteState(state *wire.AgentState) {
-	usable := state.Ready && !state.Draining
-	before, known := e.usable.Swap(state.Endpoint, usable)
-	if known && before == usable {
-		return
-	}
-	select {
-	case e.capacityDue <- struct{}{}:
-	default:
-	}
-}
-
 func (e *Entry) followCapacity(ctx context.Context) {
 	ticker := time.NewTicker(capacityInterval)
 	defer ticker.Stop()
@@ -93,7 +79,7 @@
 
 func (e *Entry) updateCapacity() {
 	view := e.config.Current()
-	byModel := capacities(view, e.fleet.States(), len(e.directory.Peers()))
+	byModel := capacities(view, e.fleet.States(), len(e.directory.live()))
 	for model := range view.Models() {
 		e.queues.SetCapacity(model, byModel[model])
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -2,87 +2,45 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/lease"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/member"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
 
 // errUnknownPeer means that a peer's address is not known.
-var errUnknownPeer = errors.New("entry host is not in the host list")
+var errUnknownPeer = errors.New("entry host is not known")
 
-// directory knows the entry hosts and their addresses from the platform's
-// host list, and calls them.
+// directory knows the entry hosts and their addresses from the membership
+// table, and calls them by name.
 type directory struct {
-	host     string
-	list     platform.HostList
-	pool     *rpc.Pool
-	interval time.Duration
-
-	mu    sync.Mutex
-	hosts map[string]platform.Host
-}
-
-func newDirectory(host string, list platform.HostList, pool *rpc.Pool, interval time.Duration) *directory {
-	return &directory{host: host, list: list, pool: pool, interval: interval, hosts: make(map[string]platform.Host)}
+	host  string
+	table *member.Table
+	pool  *rpc.Pool
 }
 
-// Run reads the host list until ctx ends. A list that cannot be read leaves
-// the last one in place.
-func (d *directory) Run(ctx context.Context) {
-	ticker := time.NewTicker(d.interval)
-	defer ticker.Stop()
-	for {
-		d.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+// peers returns the entry hosts that are not gone, this one included.
+func (d *directory) peers() []snapshot.Peer {
+	var peers []snapshot.Peer
+	for _, m := range d.table.Entries(time.Now()) {
+		if m.State != member.Gone {
+			peers = append(peers, snapshot.Peer{Name: m.Name, Domain: m.Domain})
 		}
 	}
-}
-
-func (d *directory) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, d.interval)
-	defer cancel()
-	list, err := d.list.Hosts(ctx)
-	if err != nil {
-		return
-	}
-	hosts := make(map[string]platform.Host, len(list))
-	for _, h := range list {
-		hosts[h.Name] = h
-	}
-	d.mu.Lock()
-	d.hosts = hosts
-	d.mu.Unlock()
-}
-
-// Peers returns the entry hosts of the list.
-func (d *directory) Peers() []snapshot.Peer {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	peers := make([]snapshot.Peer, 0, len(d.hosts))
-	for _, h := range d.hosts {
-		peers = append(peers, snapshot.Peer{Name: h.Name, Domain: h.Domain})
-	}
 	return peers
 }
 
 // live returns the entry hosts that may hold control work.
 func (d *directory) live() []lease.Host {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	hosts := make([]lease.Host, 0, len(d.hosts))
-	for _, h := range d.hosts {
-		if h.State == platform.HostLive {
-			hosts = append(hosts, lease.Host{Name: h.Name, Domain: h.Domain})
+	var hosts []lease.Host
+	for _, m := range d.table.Entries(time.Now()) {
+		if (m.State == member.Live || m.State == member.Suspect) && m.Listed != member.Leaving {
+			hosts = append(hosts, lease.Host{Name: m.Name, Domain: m.Domain})
 		}
 	}
 	return hosts
@@ -90,11 +48,12 @@
 
 // Exchange sends a message to another entry host by its name.
 func (d *directory) Exchange(ctx context.Context, peer string, m *wire.PeerMessage) (*wire.PeerMessage, error) {
-	d.mu.Lock()
-	host, ok := d.hosts[peer]
-	d.mu.Unlock()
+	address, ok := d.table.Address(peer)
 	if !ok {
 		return nil, errors.Wrap(errUnknownPeer, peer)
 	}
-	return d.pool.Exchange(ctx, host.Address, m)
+	return d.pool.Exchange(ctx, address, m)
 }
+
+// MemberCount is the number of entry hosts that this one takes for live.
+func (e *Entry) MemberCount() int { return len(e.directory.live()) }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,12 +18,14 @@
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/fleet"
 	"github.com/acacialink/acacialink/internal/lease"
+	"github.com/acacialink/acacialink/internal/member"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/once"
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/quota"
 	"github.com/acacialink/acacialink/internal/record"
+	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
@@ -40,6 +43,8 @@
 	store       platform.Store
 	marks       *record.Marks
 	hostList    platform.HostList
+	members     *member.Table
+	exchanger   *member.Exchanger
 	directory   *directory
 	config      *snapshot.Holder
 	router      *route.Router
@@ -59,9 +64,14 @@
 	peers       *rpc.Server
 	rpcStats    rpc.Stats
 	draining    drainState
+	// begun is set once the host was ready for the first time.
+	begun atomic.Bool
 	// usable is whether each endpoint was usable when last heard; capacityDue
 	// asks for a new look at the endpoints' capacity.
-	usable      sync.Map
+	usable sync.Map
+	// endpointsAt is the revision whose endpoints the membership table knows;
+	// followConfig alone uses it.
+	endpointsAt resource.Revision
 	capacityDue chan struct{}
 
 	callerListener, operatorListener, peerListener net.Listener
@@ -79,7 +89,11 @@
 		capacityDue: make(chan struct{}, 1),
 	}
 	e.marks = record.NewMarks(s.Name, e.incarnation)
-	e.buildConfig(source)
+	if err := e.listen(ctx); err != nil {
+		return nil, err
+	}
+	e.buildMembership(source)
+	e.buildConfig()
 	e.buildFleet(source)
 	e.buildLeases()
 	e.buildQuota()
@@ -93,27 +107,21 @@
 	}
 	e.peers = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry), entryRPC(s))
 	e.publish()
-	if err := e.listen(ctx); err != nil {
-		return nil, err
-	}
 	return e, nil
 }
 
 // idlePeerConnections is how many connections to each peer stay open.
 const idlePeerConnections = 2
 
-func (e *Entry) buildConfig(source certs.Source) {
+func (e *Entry) buildConfig() {
 	s := e.settings
-	dialer := rpc.NewDialer(certs.ClientTLS(source, certs.RoleEntry, ""), entryRPC(s))
-	e.hostList = platform.NewHTTPHostList(s.Platform.HostList, nil)
-	e.directory = newDirectory(s.Name, e.hostList, rpc.NewPool(dialer, idlePeerConnections), s.Member.HostList.Std())
 	e.config = snapshot.NewHolder(snapshot.HolderOptions{
 		Host:        s.Name,
 		Domain:      s.Domain,
 		Incarnation: e.incarnation,
 		Log:         snapshot.NewLog(e.store, e.log),
 		Peers:       e.directory,
-		Directory:   e.directory.Peers,
+		Directory:   e.directory.peers,
 		Logger:      e.log,
 	})
 }
@@ -133,6 +141,7 @@
 		Subset:        route.DefaultSubsetSize,
 		RetireTimeout: s.Timeouts.Drain.Std(),
 		Observe:       e.noteState,
+		Leaving:       e.leaving,
 	})
 }
 
@@ -228,7 +237,7 @@
 	serve(func() error { return serveHTTP(serving, operators, e.operatorListener) })
 	g.Go(func() error { return serveHTTP(serving, callers, e.callerListener) })
 	background := startLoops(ctx,
-		e.directory.Run, e.config.Run, e.followConfig, e.followCapacity,
+		e.exchanger.Run, e.config.Run, e.followConfig, e.followCapacity,
 		e.holders.Run, e.runSlots, e.runQuota, e.keepers.Run, e.leases.Run)
 	sending := startLoops(ctx, e.sender.Run)
 	deciding := startLoops(ctx, e.roles.Run, e.pools.Run)
@@ -280,28 +289,3 @@
 	}
 	e.claims.Close(ctx)
 }
-
-// followConfig keeps the sessions to agents in line with the configuration.
-func (e *Entry) followConfig(ctx context.Context) {
-	for {
-		changed := e.config.Changed()
-		e.reconcile(ctx, e.config.Current())
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-func (e *Entry) reconcile(ctx context.Context, view *snapshot.View) {
-	endpoints := make([]fleet.Endpoint, 0, len(view.Endpoints()))
-	for _, one := range view.Endpoints() {
-		endpoints = append(endpoints, fleet.Endpoint{Name: one.Name, Spec: one.Spec})
-	}
-	e.fleet.Reconcile(ctx, endpoints)
-	spec, _ := view.Domain(e.settings.Domain)
-	for to, us := range spec.Distance {
-		e.router.SetDistance(e.settings.Domain, to, time.Duration(us)*time.Microsecond)
-	}
-}
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -50,6 +50,7 @@
 // Connections are kept until then, since a request may be on its way.
 func (e *Entry) drain(ctx context.Context, callers *http.Server) {
 	e.draining.begin()
+	e.members.Leave(time.Now())
 	e.log.Info("drain began")
 	begun := time.Now()
 	pause(ctx, e.settings.Timeouts.DrainNotice.Std())
--- a/internal/node/entrystate.go
+++ b/internal/node/entrystate.go
@@ -1,5 +1,7 @@
 package node
 
+import "time"
+
 // publish registers the process's metrics and state.
 func (e *Entry) publish() {
 	stats := e.callers.Stats()
@@ -32,7 +34,7 @@
 		e.registry.NewGauge(name, func() any { return read() })
 	}
 	e.registry.RegisterState("config", func() any { return e.configState() })
-	e.registry.RegisterState("hosts", func() any { return e.directory.Peers() })
+	e.registry.RegisterState("members", func() any { return e.members.Dump(time.Now()) })
 	e.registry.RegisterState("endpoints", func() any { return e.fleet.States() })
 	e.registry.RegisterState("pieces", func() any { return e.leases.Pieces() })
 	e.registry.RegisterState("holders", func() any { return e.holders.All() })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -12,6 +13,9 @@
 	if m.Config != nil {
 		answer.Config = e.config.HandleExchange(m.Config)
 	}
+	if m.Member != nil {
+		answer.Member = e.members.HandleExchange(m.From, m.Member, time.Now())
+	}
 	if m.Quota != nil {
 		answer.Quota = e.quota.HandleQuota(m.Quota, m.From)
 	}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -8,6 +8,9 @@
 	if ready, reason := e.draining.Ready(); !ready {
 		return false, reason
 	}
+	if e.members.Superseded() {
+		return false, "a newer process of this name has replaced this one"
+	}
 	view, err := e.config.Use()
 	if err != nil {
 		return false, verdict.As(err).Code
@@ -15,8 +18,9 @@
 	if len(view.Endpoints()) > 0 && len(e.fleet.States()) == 0 {
 		return false, "no endpoint is connected"
 	}
-	if len(e.slots.Counts()) == 0 {
-		return false, "no quota shard has an owner"
+	if !e.begun.Load() && !e.slots.Complete() {
+		return false, "quota shards have no owner yet"
 	}
+	e.begun.Store(true)
 	return true, ""
 }
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -93,6 +93,18 @@
 	return Tenure{Fence: slot.Fence, Fresh: slot.Fence == 1}, true
 }
 
+// Complete says whether every shard has an owner, as far as this host knows.
+func (s *Slots) Complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, slot := range s.table.Slots {
+		if slot.Host == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // Counts is the number of slots by host, for dumps.
 func (s *Slots) Counts() map[string]int {
 	s.mu.Lock()
