opsclient, exit: one set of exit codes

Cause: the operators' commands had exit codes of their own beside those of internal/exit, so 4 meant a conflict for one command and no answer for another. Ruled out: mapping one set to the other, which would keep two tables alike by hand. go test ./internal/opsclient passes. Conclusion: a code means one thing.

--- a/internal/exit/code.go
+++ b/internal/exit/code.go
@@ -23,4 +23,9 @@
 	Conflict Code = 6
 	// TimedOut means that a wait ended before what was waited for.
 	TimedOut Code = 7
+	// NotFound means that there is no such resource.
+	NotFound Code = 8
+	// Unknown means that the answer to a change was lost: it may have been
+	// accepted.
+	Unknown Code = 9
 )
--- a/internal/opsclient/call.go
+++ b/internal/opsclient/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsapi"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -48,7 +49,7 @@
 	if body != nil {
 		var err error
 		if text, err = json.Marshal(body); err != nil {
-			return nil, fail(ExitUsage, err, "encode the request")
+			return nil, fail(exit.Usage, err, "encode the request")
 		}
 	}
 	err := errors.New("no address is given")
@@ -62,7 +63,7 @@
 			return nil, fail(lostCode(method), err, "the answer was lost")
 		}
 	}
-	return nil, fail(ExitUnavailable, err, "no entry host could be reached")
+	return nil, fail(exit.Unreachable, err, "no entry host could be reached")
 }
 
 func (o Options) sendTo(ctx context.Context, address, method, path string, body []byte) (*http.Response, error) {
@@ -85,18 +86,18 @@
 }
 
 // lostCode is the exit code when the answer to a request was lost.
-func lostCode(method string) ExitCode {
+func lostCode(method string) exit.Code {
 	if method == http.MethodGet {
-		return ExitUnavailable
+		return exit.Unreachable
 	}
-	return ExitUnknown
+	return exit.Unknown
 }
 
 // refused maps an error answer to an error with all its details.
 func refused(status int, data []byte) error {
 	var body opsapi.ErrorBody
 	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
-		return failf(ExitFailed, "the host answered with status %d", status)
+		return failf(exit.Failed, "the host answered with status %d", status)
 	}
 	e := body.Error
 	lines := []string{e.Message}
@@ -109,19 +110,19 @@
 	return failf(codeOfStatus(status, e.Verdict), "%s", strings.Join(lines, "\n"))
 }
 
-func codeOfStatus(status int, v string) ExitCode {
+func codeOfStatus(status int, v string) exit.Code {
 	switch status {
 	case http.StatusUnauthorized:
-		return ExitUnauthorized
+		return exit.Refused
 	case http.StatusNotFound:
-		return ExitNotFound
+		return exit.NotFound
 	case http.StatusConflict:
-		return ExitConflict
+		return exit.Conflict
 	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge, http.StatusPreconditionRequired:
-		return ExitInvalid
+		return exit.Settings
 	}
 	if verdict.Parse(v) == verdict.NotRun {
-		return ExitUnavailable
+		return exit.Unreachable
 	}
-	return ExitUnknown
+	return exit.Unknown
 }
--- a/internal/opsclient/client_test.go
+++ b/internal/opsclient/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsapi"
 	"github.com/acacialink/acacialink/internal/opsclient"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -68,20 +69,20 @@
 	is := is.New(t)
 	o, store := newOptions(t)
 	var out bytes.Buffer
-	apply := func(text string) opsclient.ExitCode {
+	apply := func(text string) exit.Code {
 		return opsclient.CodeOf(opsclient.Apply(t.Context(), o, writeFile(t, text), &out))
 	}
-	is.Equal(apply(`{"kind": `), opsclient.ExitUsage)
-	is.Equal(apply(`{"name": "x"}`), opsclient.ExitUsage)
-	is.Equal(apply(`[{"kind":"workspace","name":"w","spec":{}}]`), opsclient.ExitInvalid)
-	is.Equal(apply(`[{"kind":"workspace","name":"w","revision":7,"spec":{"rate_tokens":5,"burst_tokens":9}}]`), opsclient.ExitConflict)
-	is.Equal(opsclient.CodeOf(opsclient.Get(t.Context(), o, "pool", "none", &out)), opsclient.ExitNotFound)
+	is.Equal(apply(`{"kind": `), exit.Settings)
+	is.Equal(apply(`{"name": "x"}`), exit.Settings)
+	is.Equal(apply(`[{"kind":"workspace","name":"w","spec":{}}]`), exit.Settings)
+	is.Equal(apply(`[{"kind":"workspace","name":"w","revision":7,"spec":{"rate_tokens":5,"burst_tokens":9}}]`), exit.Conflict)
+	is.Equal(opsclient.CodeOf(opsclient.Get(t.Context(), o, "pool", "none", &out)), exit.NotFound)
 	store.SetDown(true)
-	is.Equal(apply(sample), opsclient.ExitUnavailable)
+	is.Equal(apply(sample), exit.Unreachable)
 	o.Token = "wrong"
-	is.Equal(apply(sample), opsclient.ExitUnauthorized)
+	is.Equal(apply(sample), exit.Refused)
 	o.Addresses = o.Addresses[:1]
-	is.Equal(apply(sample), opsclient.ExitUnavailable)
+	is.Equal(apply(sample), exit.Unreachable)
 }
 
 func TestWatchPrintsChanges(t *testing.T) {
--- a/internal/opsclient/command.go
+++ b/internal/opsclient/command.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsapi"
 	"github.com/acacialink/acacialink/internal/resource"
 )
@@ -98,12 +99,12 @@
 		if err == nil && last.InForce {
 			return nil
 		}
-		if code := CodeOf(err); err != nil && code != ExitUnavailable {
+		if code := CodeOf(err); err != nil && code != exit.Unreachable {
 			return err
 		}
 		select {
 		case <-ctx.Done():
-			return failf(ExitPending, "revision %d is stored, but was not in force within %s; accepted: %t, waiting for %v",
+			return failf(exit.TimedOut, "revision %d is stored, but was not in force within %s; accepted: %t, waiting for %v",
 				revision, o.Wait, last.Accepted, last.Waiting)
 		case <-time.After(waitInterval):
 		}
--- a/internal/opsclient/file.go
+++ b/internal/opsclient/file.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/resource"
 )
 
@@ -20,21 +21,21 @@
 	if name != "-" {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, fail(ExitUsage, err, "open")
+			return nil, fail(exit.Settings, err, "open")
 		}
 		defer f.Close()
 		in = f
 	}
 	data, err := io.ReadAll(io.LimitReader(in, maxFileBytes+1))
 	if err != nil {
-		return nil, fail(ExitUsage, err, "read "+name)
+		return nil, fail(exit.Settings, err, "read "+name)
 	}
 	if len(data) > maxFileBytes {
-		return nil, failf(ExitUsage, "%s is larger than %d bytes", name, maxFileBytes)
+		return nil, failf(exit.Settings, "%s is larger than %d bytes", name, maxFileBytes)
 	}
 	list, err := ParseResources(data)
 	if err != nil {
-		return nil, fail(ExitUsage, err, name)
+		return nil, fail(exit.Settings, err, name)
 	}
 	return list, nil
 }
--- a/internal/opsclient/output.go
+++ b/internal/opsclient/output.go
@@ -6,6 +6,7 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsapi"
 	"github.com/acacialink/acacialink/internal/resource"
 )
@@ -14,7 +15,7 @@
 	e := json.NewEncoder(out)
 	e.SetIndent("", "  ")
 	if err := e.Encode(value); err != nil {
-		return fail(ExitFailed, err, "print")
+		return fail(exit.Failed, err, "print")
 	}
 	return nil
 }
@@ -47,7 +48,7 @@
 		fmt.Fprintf(w, "%s/%s\t%d\t%d\t%s\n", r.Kind, r.Name, r.Generation, r.Revision, conditionText(r.Status))
 	}
 	if err := w.Flush(); err != nil {
-		return fail(ExitFailed, err, "print")
+		return fail(exit.Failed, err, "print")
 	}
 	return nil
 }
--- a/internal/opsclient/watch.go
+++ b/internal/opsclient/watch.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsapi"
 )
 
@@ -44,7 +45,7 @@
 	if err == nil {
 		err = errors.New("the host ended the stream")
 	}
-	return fail(ExitUnavailable, err, "watch")
+	return fail(exit.Unreachable, err, "watch")
 }
 
 func (o Options) printEvents(in io.Reader, out io.Writer) error {
