cmd/acacialink: a failing command keeps its exit code

Cause: kingpin names no command when an action fails, which run took for a wrong command line, so every failure of apply, get, watch and delete left with 2. Change: an action of the application notes that the command line was parsed. Ruled out: telling failures by their type alone, since actions also return plain errors. Conclusion: the documented codes reach the shell.

--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -29,12 +29,17 @@
 	addDemo(app)
 	addOperators(app)
 	addVersion(app)
-	command, err := app.Parse(args)
+	parsed := false
+	app.Action(func(*kingpin.ParseContext) error {
+		parsed = true // The command itself comes next.
+		return nil
+	})
+	_, err := app.Parse(args)
 	if err == nil {
 		return exit.OK
 	}
 	fmt.Fprintf(os.Stderr, "acacialink: %v\n", err)
-	if command == "" {
+	if !parsed {
 		return exit.Usage
 	}
 	return codeOf(err)
--- a/cmd/acacialink/operators.go
+++ b/cmd/acacialink/operators.go
@@ -6,7 +6,6 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsclient"
 )
 
@@ -81,5 +80,5 @@
 
 // operatorFailure gives err the exit code that the client's commands document.
 func operatorFailure(err error) error {
-	return failed(exit.Code(opsclient.CodeOf(err)), err)
+	return failed(opsclient.CodeOf(err), err)
 }
