replay: a command against a deployment or a sample site

Change: acacialink replay and compare; without an entry it starts the festival or the consortium in this process and makes the trace's events happen; settings routing.policy and role.mode name the baselines, so that they run on the same traces. Ruled out: baselines as build tags.

--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -28,6 +28,8 @@
 	addStandin(app)
 	addDemo(app)
 	addOperators(app)
+	addReplay(app)
+	addCompare(app)
 	addVersion(app)
 	parsed := false
 	app.Action(func(*kingpin.ParseContext) error {
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -8,6 +8,11 @@
 //go:embed festival/resources.hujson
 var FestivalResources []byte
 
+// ConsortiumResources is the resources file of the tabletop craft consortium.
+//
+//go:embed consortium/resources.hujson
+var ConsortiumResources []byte
+
 // FestivalKeys are the sample keys of the festival by workspace, the same as
 // the comments of its resources file name.
 func FestivalKeys() map[string]string {
@@ -20,13 +25,7 @@
 	}
 }
 
-// ConsortiumResources is the resources file of the dice tower consortium.
-//
-//go:embed consortium/resources.hujson
-var ConsortiumResources []byte
-
-// ConsortiumKeys are the sample keys of the consortium by workspace, the same
-// as the comments of its resources file name.
+// ConsortiumKeys are the sample keys of the consortium by workspace.
 func ConsortiumKeys() map[string]string {
 	return map[string]string{
 		"olumo-workshop":  "key-olumo",
--- /dev/null
+++ b/internal/demo/experiment.go
@@ -0,0 +1,106 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/exit"
+	"github.com/acacialink/acacialink/internal/opsclient"
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/replay"
+	"github.com/acacialink/acacialink/internal/settings"
+)
+
+// Experiment is a replay against a site of its own in this process.
+type Experiment struct {
+	// Site is "festival" or "consortium".
+	Site string
+	// Routing and Roles are settings routing.policy and role.mode.
+	Routing, Roles string
+	Job            replay.Job
+	Log            *slog.Logger
+}
+
+// errUnknownSite means that there is no sample site of that name.
+var errUnknownSite = errors.New("site must be festival or consortium")
+
+// Run starts the site, replays and stops it.
+func (e *Experiment) Run(ctx context.Context, out io.Writer) (exit.Code, error) {
+	source, keys, err := e.sample()
+	if err != nil {
+		return exit.Usage, err
+	}
+	resources, err := opsclient.ParseResources(source)
+	if err != nil {
+		return exit.Settings, errors.Wrap(err, "resources")
+	}
+	site, err := NewSite(ctx, resources, e.entrySettings(), e.Log)
+	if err != nil {
+		return exit.Failed, err
+	}
+	siteCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	stopped := make(chan error, 1)
+	go func() { stopped <- site.Run(siteCtx) }()
+	if err := site.begin(ctx, resources); err != nil {
+		return exit.Failed, err
+	}
+	if e.Job.Options.Rates, err = replay.RatesOf(resources); err != nil {
+		return exit.Settings, err
+	}
+	e.Job.Options.Keys = keys
+	e.Job.Options.OnEvent = site.onEvent
+	e.Job.Options.Figures = site.figures(time.Now())
+	for _, one := range site.Entries {
+		e.Job.Options.Entries = append(e.Job.Options.Entries, "http://"+one.CallerAddr())
+	}
+	code, err := e.Job.Run(ctx, out)
+	stop()
+	if siteErr := <-stopped; err == nil {
+		err = siteErr
+	}
+	return code, err
+}
+
+func (e *Experiment) sample() (source []byte, keys map[string]string, err error) {
+	switch e.Site {
+	case "festival":
+		return examples.FestivalResources, examples.FestivalKeys(), nil
+	case "consortium":
+		return examples.ConsortiumResources, examples.ConsortiumKeys(), nil
+	default:
+		return nil, nil, errUnknownSite
+	}
+}
+
+func (e *Experiment) entrySettings() settings.Entry {
+	s := entrySettings()
+	if e.Routing != "" {
+		s.Routing.Policy = e.Routing
+	}
+	if e.Roles != "" {
+		s.Role.Mode = e.Roles
+	}
+	return s
+}
+
+// figures counts what the stand-ins saw since the moment.
+func (s *Site) figures(since time.Time) func(context.Context) (replay.Figures, error) {
+	return func(context.Context) (replay.Figures, error) {
+		var f replay.Figures
+		for _, e := range s.Deployment.Engines {
+			f.EndpointSeconds += time.Since(since).Seconds()
+			for _, o := range e.Standin.Record().Orders {
+				if o.Kind == platform.OrderSetRole && !o.Repeat && o.Start.After(since) {
+					f.RoleChanges++
+				}
+			}
+		}
+		return f, nil
+	}
+}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -40,24 +40,15 @@
 	if err != nil {
 		return errors.Wrap(err, "resources")
 	}
-	base := settings.DefaultEntry()
-	base.Region = "vltava"
-	base.Timeouts.DrainNotice = 0
+	base := entrySettings()
 	base.Listen.Callers = o.Callers
-	base.Member.HostList = settings.Duration(time.Second)
 	site, err := NewSite(ctx, resources, base, o.Log)
 	if err != nil {
 		return err
 	}
 	var g errgroup.Group
 	g.Go(func() error { return site.Run(ctx) })
-	if err := site.awaitMembers(ctx); err != nil {
-		return err
-	}
-	if err := site.configure(ctx, resources); err != nil {
-		return errors.Wrap(err, "configure")
-	}
-	if err := site.awaitReady(ctx); err != nil {
+	if err := site.begin(ctx, resources); err != nil {
 		return err
 	}
 	printWelcome(o.Out, site)
@@ -69,6 +60,31 @@
 	return g.Wait()
 }
 
+// entrySettings are what the entry hosts of a demo start from.
+func entrySettings() settings.Entry {
+	s := settings.DefaultEntry()
+	s.Region = "sample"
+	s.Timeouts.DrainNotice = 0
+	s.Member.HostList = settings.Duration(time.Second)
+	return s
+}
+
+// begin returns once the site, which Run runs, serves the resources.
+func (s *Site) begin(ctx context.Context, resources []resource.Resource) error {
+	select {
+	case <-s.started:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := s.awaitMembers(ctx); err != nil {
+		return err
+	}
+	if err := s.configure(ctx, resources); err != nil {
+		return errors.Wrap(err, "configure")
+	}
+	return s.awaitReady(ctx)
+}
+
 // configure declares the resources over the operators' API and waits until
 // they are in force.
 func (s *Site) configure(ctx context.Context, resources []resource.Resource) error {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -27,9 +27,15 @@
 // Site is a running deployment.
 type Site struct {
 	Deployment *standin.Deployment
-	Entries    []*node.Entry
-	Agents     []*node.Agent
-
+	// Entries are the entry hosts as they were first started.
+	Entries []*node.Entry
+	Agents  []*node.Agent
+
+	running []*runningEntry
+	// started is closed once the entry hosts run.
+	started chan struct{}
+	// domains are the failure domains of endpoints by name.
+	domains   map[string]string
 	authority *certs.Authority
 	log       *slog.Logger
 	// base is what all entry hosts' settings start from.
@@ -47,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Deployment: deployment, authority: authority, log: log, base: base}
+	s := &Site{Deployment: deployment, domains: make(map[string]string), started: make(chan struct{}), authority: authority, log: log, base: base}
 	if err := s.addAll(ctx, resources); err != nil {
 		deployment.Close()
 		return nil, err
@@ -90,11 +96,13 @@
 	if err != nil {
 		return err
 	}
-	e, err := node.NewEntry(ctx, o, source, s.log.With("process", o.Name))
+	log := s.log.With("process", o.Name)
+	e, err := node.NewEntry(ctx, o, source, log)
 	if err != nil {
 		return err
 	}
 	s.Entries = append(s.Entries, e)
+	s.running = append(s.running, &runningEntry{settings: o, source: source, log: log, entry: e})
 	s.Deployment.HostList.Standin.Set(platform.Host{Name: o.Name, Domain: domain, State: platform.HostLive, Address: e.PeerAddr()})
 	return nil
 }
@@ -143,6 +151,7 @@
 		return err
 	}
 	s.Agents = append(s.Agents, a)
+	s.domains[r.Name] = spec.Domain
 	spec.Agent = a.Addr()
 	r.Spec, err = json.Marshal(spec)
 	return errors.Wrap(err, "endpoint spec")
@@ -177,14 +186,20 @@
 	defer s.Deployment.Close()
 	agentCtx, stopAgents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopAgents()
-	var agents, entries errgroup.Group
+	var agents errgroup.Group
 	for _, a := range s.Agents {
 		agents.Go(func() error { return a.Run(agentCtx) })
 	}
-	for _, e := range s.Entries {
-		entries.Go(func() error { return e.Run(ctx) })
+	for _, e := range s.running {
+		e.run(ctx)
+	}
+	close(s.started)
+	var err error
+	for _, e := range s.running {
+		if stopped := e.wait(); err == nil {
+			err = stopped
+		}
 	}
-	err := entries.Wait()
 	stopAgents()
 	if agentErr := agents.Wait(); err == nil {
 		err = agentErr
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -72,6 +72,9 @@
 	roleSettings := role.DefaultSettings()
 	roleSettings.StaleReport = s.Role.StaleReport.Std()
 	roleSettings.Cooldown = s.Role.Hold.Std()
+	if s.Role.Mode == "reactive" {
+		roleSettings = roleSettings.Reactive()
+	}
 	e.roles = control.NewRoles(control.RoleOptions{
 		Leases:   e.leases,
 		Config:   e.config,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -64,6 +64,7 @@
 	peers       *rpc.Server
 	rpcStats    rpc.Stats
 	draining    drainState
+	killed      chan struct{}
 	// begun is set once the host was ready for the first time.
 	begun atomic.Bool
 	// usable is whether each endpoint was usable when last heard; capacityDue
@@ -87,6 +88,7 @@
 		store:       platform.NewHTTPStore(s.Platform.Store, nil),
 		queues:      entry.NewQueues(queue.DefaultSettings()),
 		capacityDue: make(chan struct{}, 1),
+		killed:      make(chan struct{}),
 	}
 	e.marks = record.NewMarks(s.Name, e.incarnation)
 	if err := e.listen(ctx); err != nil {
@@ -128,8 +130,7 @@
 
 func (e *Entry) buildFleet(source certs.Source) {
 	s := e.settings
-	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	e.router = route.NewRouter(route.NewPicker(seed))
+	e.router = route.NewRouter(routingPolicy(s.Routing.Policy))
 	e.fleet = fleet.New(fleet.Options{
 		Host:   s.Name,
 		Domain: s.Domain,
@@ -145,6 +146,21 @@
 	})
 }
 
+// routingPolicy returns the policy that settings name.
+func routingPolicy(name string) route.Policy {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	switch name {
+	case "round-robin":
+		return &route.RoundRobin{}
+	case "least-reported":
+		return route.LeastReported{}
+	case "two-choices":
+		return &route.TwoChoices{Rand: random}
+	default:
+		return route.NewPicker(random)
+	}
+}
+
 func entryRPC(s settings.Entry) rpc.Options {
 	return rpc.Options{
 		Heartbeat:    s.Timeouts.Heartbeat.Std(),
@@ -221,6 +237,13 @@
 func (e *Entry) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	go func() {
+		select {
+		case <-e.killed:
+			stop()
+		case <-serving.Done():
+		}
+	}()
 	operators, err := e.operatorServer()
 	if err != nil {
 		return err
@@ -240,20 +263,27 @@
 		e.exchanger.Run, e.config.Run, e.followConfig, e.followCapacity,
 		e.holders.Run, e.runSlots, e.runQuota, e.keepers.Run, e.leases.Run)
 	sending := startLoops(ctx, e.sender.Run)
-	deciding := startLoops(ctx, e.roles.Run, e.pools.Run)
+	deciding := startLoops(ctx, e.decisions()...)
 	e.log.Info("entry started", "callers", e.CallerAddr(), "operators", e.OperatorAddr(), "peers", e.PeerAddr())
 	g.Go(func() error {
 		defer stop()
+		planned := false
 		select {
 		case <-ctx.Done():
+			planned = true
 			e.drain(serving, callers)
+		case <-e.killed:
 		case <-serving.Done():
 		}
 		deciding.stop()
 		sending.stop()
-		e.handOver(serving)
+		if planned {
+			e.handOver(serving)
+		}
 		background.stop()
-		e.release(serving)
+		if planned {
+			e.release(serving)
+		}
 		return nil
 	})
 	err = g.Wait()
@@ -261,6 +291,17 @@
 	return err
 }
 
+// Kill ends Run at once, without a planned stop, as the loss of the host would.
+func (e *Entry) Kill() { close(e.killed) }
+
+// decisions are the loops that decide and act on the fleet.
+func (e *Entry) decisions() []func(context.Context) {
+	if e.settings.Role.Mode == "fixed" {
+		return []func(context.Context){e.pools.Run}
+	}
+	return []func(context.Context){e.roles.Run, e.pools.Run}
+}
+
 // handOverTimeout bounds the hand-over of usage figures at a planned stop,
 // and releaseTimeout that of leases and slots.
 const (
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -62,8 +62,18 @@
 	PageBytes int64 `json:"page_bytes" check:"min=1024,max=1000000"`
 }
 
+// Routing is about the choice of endpoints.
+type Routing struct {
+	// Policy is "predicted", or one of the baselines "round-robin",
+	// "least-reported" and "two-choices".
+	Policy string `json:"policy" check:"oneof=predicted|round-robin|least-reported|two-choices"`
+}
+
 // Role is about role and placement decisions.
 type Role struct {
+	// Mode is "steady", or one of the baselines "reactive" (without
+	// hysteresis) and "fixed" (no change).
+	Mode string `json:"mode" check:"oneof=steady|reactive|fixed"`
 	// Interval is the time between decisions.
 	Interval Duration `json:"interval" check:"min=100ms,max=10m"`
 	// Hold is the least time between two changes of one engine.
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -33,9 +33,11 @@
 			Exchange: second, Fanout: 2, Suspect: 5 * second,
 			HostList: 5 * second, Watchers: 2,
 		},
-		Quota: Quota{Shards: 16, Grant: 2 * second, Interval: 200 * millisecond, BasePercent: 50},
-		Usage: Usage{Window: minute, Flush: 2 * second, Settle: 10 * second, Shards: 4, PageBytes: 900_000},
+		Quota:   Quota{Shards: 16, Grant: 2 * second, Interval: 200 * millisecond, BasePercent: 50},
+		Usage:   Usage{Window: minute, Flush: 2 * second, Settle: 10 * second, Shards: 4, PageBytes: 900_000},
+		Routing: Routing{Policy: "predicted"},
 		Role: Role{
+			Mode:     "steady",
 			Interval: 2 * second, Hold: minute,
 			StaleReport: 5 * second, ParallelChanges: 1,
 		},
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -39,6 +39,8 @@
 	Quota Quota `json:"quota"`
 	// Usage is about usage windows and their reports.
 	Usage Usage `json:"usage"`
+	// Routing is about the choice of endpoints.
+	Routing Routing `json:"routing"`
 	// Role is about role and placement decisions.
 	Role Role `json:"role"`
 	// Pool is about ordering endpoints.
