--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -37,16 +37,20 @@
 }
 
 // freshness samples the hosts for d and returns the share of samples in which
-// each one was fresh.
+// each one was fresh. It leaves the highest age in oldest.
 func (f *fleet) freshness(d time.Duration) map[string]float64 {
 	const step = 100 * time.Millisecond
 	count := map[string]float64{}
+	f.oldest = 0
 	samples := int(d / step)
 	for range samples {
 		for _, n := range f.hosts {
 			if n.holder.Fresh(time.Now()) {
 				count[n.name]++
 			}
+			if age, ok := n.holder.Age(); ok {
+				f.oldest = max(f.oldest, age)
+			}
 		}
 		time.Sleep(step)
 	}
@@ -267,3 +271,27 @@
 		is.Equal(len(f.hosts[0].holder.Current().Voters().All()), 5)
 	})
 }
+
+// One change that is larger than a message and a segment reaches every host by
+// pages, from the store and from peers.
+func TestBulkChangeReachesAllHostsByPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 14, 1, flaws{})
+		f.start()
+		time.Sleep(warmUp)
+		var items []Item
+		for i := range 8000 {
+			items = append(items, item("workspace", fmt.Sprintf("w%05d", i), map[string]any{"rate_tokens": i}))
+		}
+		o, err := f.change(f.hosts[0], func(*View) (Change, error) { return Change{Items: items}, nil })
+		is.NoErr(err)
+		is.True(o.Accepted)
+		time.Sleep(3 * time.Second)
+		for _, n := range f.hosts {
+			is.Equal(n.holder.Current().Count("workspace"), 8000)
+			is.True(n.holder.Fresh(time.Now()))
+		}
+		f.stopAll()
+	})
+}
--- a/internal/snapshot/upkeep.go
+++ b/internal/snapshot/upkeep.go
@@ -16,35 +16,53 @@
 	// minVoters is the least number of live hosts that makes a list useful:
 	// with fewer, the loss of one host would leave no majority.
 	minVoters = 3
-	// upkeepInterval is the time between two looks at the list.
+	// upkeepInterval is the time between two looks at the list, and
+	// upkeepSoon the same while a site has no voters or replaces them: until
+	// then it cannot go on without the store.
 	upkeepInterval = 5 * time.Second
+	upkeepSoon     = 500 * time.Millisecond
 )
 
 // runUpkeep replaces voters that are gone, until ctx ends.
 func (h *Holder) runUpkeep(ctx context.Context) {
-	ticker := time.NewTicker(upkeepInterval)
-	defer ticker.Stop()
+	looks := 0
 	for {
+		timer := time.NewTimer(h.upkeepWait())
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		h.upkeep(ctx)
+		looks = h.upkeep(ctx, looks)
 	}
 }
 
-// upkeep looks at the list once. One host at a time does it, and the
-// compare-and-swap of the log keeps two from doing it at once.
-func (h *Holder) upkeep(ctx context.Context) {
+func (h *Holder) upkeepWait() time.Duration {
+	voters := h.Current().Voters()
+	if len(voters.Hosts) == 0 || len(voters.Previous) > 0 {
+		return upkeepSoon
+	}
+	return upkeepInterval
+}
+
+// upkeep looks at the list once and returns how many looks in a row found it
+// in need of a change. The host that ranks first acts at the first look; each
+// other one gives those before it a look more, so that a host which is cut off
+// holds nothing up. The compare-and-swap of the log keeps two from acting at once.
+func (h *Holder) upkeep(ctx context.Context, looks int) int {
 	live := h.o.Directory()
-	ranked := rankHosts("voters", names(live, nil))
-	if h.storeFailed.Load() || len(ranked) == 0 || ranked[0] != h.o.Host {
-		return
+	if _, due := nextVoters(h.Current().voters, live); !due || h.storeFailed.Load() {
+		return 0
+	}
+	rank := slices.Index(rankHosts("voters", names(live, nil)), h.o.Host)
+	if rank < 0 || looks < rank {
+		return looks + 1
 	}
 	if err := h.updateVoters(ctx, live); err != nil {
 		h.o.Logger.Warn("list of voters not updated", "error", err.Error())
 	}
+	return 0
 }
 
 // updateVoters takes one step: it replaces the list, or ends a replacement
@@ -55,6 +73,9 @@
 	if !due {
 		return nil
 	}
+	if h.flaws.replaceAtOnce {
+		next.Previous = nil
+	}
 	if len(v.voters.Previous) > 0 && !h.push(ctx, v.revision) {
 		return nil
 	}
