queue: a host may use headroom beyond its equal part

Cause: with many hosts an equal part of the capacity is less than one engine, and callers that come in a bunch are refused while engines are idle.

--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -109,6 +109,9 @@
 		for _, r := range m.routers {
 			r.Observe(m.clock(), st)
 		}
+		for h := range m.admission {
+			m.share(h)
+		}
 	})
 	m.after(modelReport, func() { m.measure(e) })
 }
--- a/internal/route/workload_test.go
+++ b/internal/route/workload_test.go
@@ -61,15 +61,32 @@
 	s.Classes[queue.Interactive].Deadline = modelFirstToken / 2
 	s.Classes[queue.Standard].Deadline = modelFirstToken / 2
 	c := queue.NewCore(s)
-	c.SetCapacity(queue.Capacity{
-		PrefillTokens: modelEngines * 8000 / modelHosts,
-		Pieces:        modelEngines * modelPieces / modelHosts,
-		Streams:       modelEngines * modelStreams / modelHosts,
-		PrefillRate:   modelEngines * 12000 / modelHosts,
-		DecodeRate:    modelEngines * modelStreams * 21 / modelHosts,
-	})
+	c.SetCapacity(queue.Share(modelCapacity, modelCapacity, queue.Capacity{}, modelHosts))
 	return c
 }
 
+// modelCapacity is what all engines may have in progress.
+var modelCapacity = queue.Capacity{
+	PrefillTokens: modelEngines * 8000,
+	Pieces:        modelEngines * modelPieces,
+	Streams:       modelEngines * modelStreams,
+	PrefillRate:   modelEngines * 12000,
+	DecodeRate:    modelEngines * modelStreams * 21,
+}
+
+// share gives a host's queue its part by the reports that the host has.
+func (m *model) share(h int) {
+	var used queue.Capacity
+	for _, c := range m.routers[h].Candidates() {
+		used.Streams += int64(c.Report.Running + c.Report.Waiting)
+		used.PrefillTokens += c.Report.WaitingPromptTokens
+		used.Pieces += int64(c.Report.TotalPieces - c.Report.FreePieces)
+	}
+	s := m.admission[h].Stats()
+	own := queue.Capacity{PrefillTokens: s.PrefillTokens, Pieces: s.Pieces, Streams: s.Streams}
+	m.admission[h].SetCapacity(queue.Share(modelCapacity, used, own, modelHosts))
+	m.admit(m.admission[h])
+}
+
 // modelStreams is the batch at which a step with a chunk takes modelBetween.
 const modelStreams = 22
