wire: answers of quota do not repeat the workspace

Cause: exchanges of quota are above the budget of control bytes at the target size. Ruled out: hashes in place of names (two workspaces could share one).

--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -51,7 +51,7 @@
 // incarnation.
 func (o *Owner) Handle(now time.Time, holder string, r *wire.QuotaRequest) *wire.QuotaGrant {
 	answer := &wire.QuotaGrant{
-		Workspace: r.GetWorkspace(), Part: r.GetPart(), Account: r.GetAccount(), Fence: r.GetFence(),
+		Part: r.GetPart(), Account: r.GetAccount(), Fence: r.GetFence(),
 	}
 	if r.GetPart() >= partCount {
 		answer.Error = errorMoved
