--- /dev/null
+++ b/internal/queue/property_test.go
@@ -0,0 +1,88 @@
+package queue
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestCapacityIsNeverExceededAndNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newTestCore(func(s *Settings) { s.Classes[Batch].MaxWaiting = 20 })
+		var waiting, admitted []*Entry
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				e, _, err := c.Push(epoch, drawItem(t))
+				if err == nil {
+					waiting = append(waiting, e)
+				}
+			case 2:
+				if len(admitted) > 0 {
+					c.Prefilled(admitted[rapid.IntRange(0, len(admitted)-1).Draw(t, "prefilled")])
+				}
+			case 3:
+				if len(admitted) > 0 {
+					c.Release(admitted[rapid.IntRange(0, len(admitted)-1).Draw(t, "released")], 10)
+				}
+			case 4:
+				if len(waiting) > 0 {
+					c.Refuse(waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "refused")], errNoCapacity())
+				}
+			}
+			for e := c.Next(); e != nil; e = c.Next() {
+				admitted = append(admitted, e)
+			}
+			checkHeld(t, c, admitted)
+		}
+		for len(admitted) > 0 {
+			c.Release(admitted[0], 10)
+			admitted = admitted[1:]
+			for e := c.Next(); e != nil; e = c.Next() {
+				admitted = append(admitted, e)
+			}
+		}
+		for _, e := range waiting {
+			if e.State == Waiting {
+				t.Fatal("an entry waits although everything is free")
+			}
+		}
+		if s := c.Stats(); s.PrefillTokens != 0 || s.Pieces != 0 || s.Waiting != [classCount]int{} {
+			t.Fatalf("capacity is left behind: %+v", s)
+		}
+	})
+}
+
+func drawItem(t *rapid.T) Item {
+	return Item{
+		Workspace:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		Class:        Class(rapid.IntRange(0, 2).Draw(t, "class")),
+		PromptTokens: rapid.Int64Range(1, 20000).Draw(t, "prompt"),
+		OutputTokens: rapid.Int64Range(1, 5000).Draw(t, "output"),
+		CachedTokens: rapid.Int64Range(0, 20000).Draw(t, "cached"),
+	}
+}
+
+func checkHeld(t *rapid.T, c *Core, admitted []*Entry) {
+	var prefill, pieces int64
+	holders := 0
+	for _, e := range admitted {
+		prefill += e.prefill
+		pieces += e.pieces
+		if e.State == Admitted {
+			holders++
+		}
+	}
+	if prefill != c.prefill || pieces != c.pieces {
+		t.Fatal("held capacity is miscounted")
+	}
+	if pieces > c.capacity.Pieces && holders > 1 {
+		t.Fatalf("%d pieces are held by %d entries", pieces, holders)
+	}
+	if c.capacity.Streams != 0 && (int64(holders) != c.streams || c.streams > c.capacity.Streams) {
+		t.Fatalf("%d streams are counted for %d entries", c.streams, holders)
+	}
+	if c.longPrefill > c.longLimit() {
+		t.Fatalf("long prompts hold %d", c.longPrefill)
+	}
+}
