--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -70,7 +70,7 @@
 	defer d.mu.Unlock()
 	peers := make([]snapshot.Peer, 0, len(d.hosts))
 	for _, h := range d.hosts {
-		peers = append(peers, snapshot.Peer{Name: h.Name, Domain: h.Domain})
+		peers = append(peers, snapshot.Peer{Name: h.Name, Domain: h.Domain, Leaving: h.State == platform.HostLeaving})
 	}
 	return peers
 }
--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -295,3 +295,18 @@
 		f.stopAll()
 	})
 }
+
+func TestLeavingHostHandsOverItsPart(t *testing.T) {
+	inFleet(t, func(is *is.I, f *fleet) {
+		f.mu.Lock()
+		f.leaving = f.hosts[2]
+		f.mu.Unlock()
+		time.Sleep(15 * time.Second)
+		is.True(!f.hosts[0].holder.Current().Voters().Has(f.hosts[2].name))
+		s := f.hosts[2].holder.State()
+		is.True(s.Fresh) // It goes on serving, with its peers' word.
+		is.True(!s.Reader)
+		f.store.SetSilent(true)
+		f.expectFresh(is, f.freshness(time.Minute), 1, 0, 1, 2, 3, 4)
+	})
+}
--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -40,6 +40,8 @@
 	side  map[string]int
 	// gone holds hosts that the directory does not list, rightly or not.
 	gone map[string]bool
+	// leaving is a host that the directory shows as leaving; nil for none.
+	leaving *node
 	// sent counts the bytes and messages that each host sent to others.
 	sent     map[string]int
 	messages map[string]int
@@ -115,7 +117,7 @@
 	defer f.mu.Unlock()
 	for _, n := range f.hosts {
 		if !f.gone[n.name] {
-			list = append(list, Peer{Name: n.name, Domain: n.domain})
+			list = append(list, Peer{Name: n.name, Domain: n.domain, Leaving: f.leaving == n})
 		}
 	}
 	return list
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -27,6 +27,9 @@
 type Peer struct {
 	Name   string
 	Domain string
+	// Leaving is true for a host that is about to go: it may be asked, but is
+	// neither reader nor voter.
+	Leaving bool
 }
 
 // HolderOptions configure a Holder.
--- a/internal/snapshot/roles.go
+++ b/internal/snapshot/roles.go
@@ -20,13 +20,18 @@
 	upstreams []string
 }
 
+// staying returns the hosts that are not leaving.
+func staying(live []Peer) []Peer {
+	return slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return p.Leaving })
+}
+
 // dutiesOf decides a host's part from the live hosts and the voters.
 func dutiesOf(host, domain string, live []Peer, voters VoterList) duties {
 	var local []string
 	alive := map[string]bool{}
 	for _, p := range live {
 		alive[p.Name] = true
-		if p.Domain == domain {
+		if p.Domain == domain && !p.Leaving {
 			local = append(local, p.Name)
 		}
 	}
--- a/internal/snapshot/upkeep.go
+++ b/internal/snapshot/upkeep.go
@@ -40,7 +40,7 @@
 // other one gives those before it a look more, so that a host which is cut off
 // holds nothing up. The compare-and-swap of the log keeps two from acting at once.
 func (h *Holder) upkeep(ctx context.Context, looks int) int {
-	live := h.o.Directory()
+	live := staying(h.o.Directory())
 	if _, due := nextVoters(h.Current().voters, live); !due || h.storeFailed.Load() {
 		return 0
 	}
@@ -90,7 +90,7 @@
 // named wrongly, runs on, and reaches a majority of the old list but neither
 // the store nor the new voters could go on with an old configuration.
 func (h *Holder) ReplaceVoters(ctx context.Context, gone []string) (Outcome, error) {
-	live := slices.DeleteFunc(slices.Clone(h.o.Directory()), func(p Peer) bool { return slices.Contains(gone, p.Name) })
+	live := slices.DeleteFunc(staying(h.o.Directory()), func(p Peer) bool { return slices.Contains(gone, p.Name) })
 	return h.Change(ctx, func(v *View) (Change, error) {
 		if !slices.ContainsFunc(gone, v.voters.Has) {
 			return Change{}, ErrVoters
