--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -66,9 +66,13 @@
 	storeFailed atomic.Bool
 	cursor      Cursor
 	cursorMu    sync.Mutex
-	wake        chan struct{}
-	counts      confirmations
-	flaws       flaws
+	// upstream is the peer that confirmed last, and asks counts the rounds
+	// with peers. Run alone uses them.
+	upstream string
+	asks     int
+	wake     chan struct{}
+	counts   confirmations
+	flaws    flaws
 
 	// mu guards the fields below and orders installs.
 	mu      sync.Mutex
--- a/internal/snapshot/round.go
+++ b/internal/snapshot/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +21,15 @@
 	// pageTimeout one page from a peer, which may have to encode it first.
 	objectTimeout = time.Second
 	pageTimeout   = 2 * time.Second
-	// exchangeTimeout bounds one exchange with a peer.
-	exchangeTimeout = 250 * time.Millisecond
+	// exchangeTimeout bounds one exchange with a peer, a new connection to a
+	// far region included.
+	exchangeTimeout = 400 * time.Millisecond
 )
 
+// upstreamRounds is after how many rounds with peers the preferred order is
+// tried again.
+const upstreamRounds = 64
+
 // Run keeps the view current and confirmed until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -111,17 +117,27 @@
 }
 
 // confirmWithPeers asks the upstreams, one after the other, until one of them
-// gives a fresh confirmation.
+// gives a fresh confirmation. The one that did so last comes first, until the
+// host goes back to the order that it prefers.
 func (h *Holder) confirmWithPeers(ctx context.Context, d duties) bool {
-	tried := 0
-	for _, peer := range d.upstreams {
-		if tried == maxUpstreams {
-			break
-		}
-		tried++
+	if h.asks++; h.asks%upstreamRounds == 0 {
+		h.upstream = ""
+	}
+	upstreams := lastFirst(h.upstream, d.upstreams)
+	for _, peer := range upstreams[:min(len(upstreams), maxUpstreams)] {
 		if h.confirmWithPeer(ctx, peer) {
+			h.upstream = peer
 			return true
 		}
 	}
 	return false
 }
+
+// lastFirst moves the last peer to the front if it is among the peers.
+func lastFirst(last string, peers []string) []string {
+	i := slices.Index(peers, last)
+	if i <= 0 {
+		return peers
+	}
+	return slices.Concat(peers[i:i+1], peers[:i], peers[i+1:])
+}
