--- a/test/fault/load_test.go
+++ b/test/fault/load_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,6 +15,9 @@
 	"github.com/acacialink/acacialink/internal/audit"
 )
 
+// maxReason bounds what is kept of a refusal by /readyz.
+const maxReason = 200
+
 // load is callers at work, with the platform's balancer before the entry
 // hosts: a host is in rotation while it says that it is ready.
 type load struct {
@@ -22,8 +27,9 @@
 	group  sync.WaitGroup
 
 	// mu guards all below.
-	mu       sync.Mutex
-	rotation map[*host]bool
+	mu sync.Mutex
+	// rotation holds why a host is not ready, empty for those that are.
+	rotation map[*host]string
 	requests []audit.Request
 	seen     []audit.ConfigSeen
 }
@@ -33,7 +39,7 @@
 	s.t.Logf("load: %d callers, seed %d", callers, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{
-		site: s, cancel: cancel, rotation: make(map[*host]bool),
+		site: s, cancel: cancel, rotation: make(map[*host]string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}},
 	}
 	for _, h := range s.entries {
@@ -53,10 +59,10 @@
 // follow keeps the rotation and the record of revisions current for a host.
 func (l *load) follow(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
-		ready := l.ready(ctx, h)
+		reason := l.notReady(ctx, h)
 		seen, fresh := h.seen(ctx)
 		l.mu.Lock()
-		l.rotation[h] = ready
+		l.rotation[h] = reason
 		if fresh {
 			l.seen = append(l.seen, seen)
 		}
@@ -68,19 +74,24 @@
 	}
 }
 
-func (l *load) ready(ctx context.Context, h *host) bool {
+// notReady asks a host whether it takes callers; it returns why not.
+func (l *load) notReady(ctx context.Context, h *host) string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operators+"/readyz", nil)
 	if err != nil {
-		return false
+		return err.Error()
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return "unreachable"
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		return ""
 	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxReason))
+	return "not ready: " + string(body)
 }
 
 // pick returns an entry host in rotation, nil if there is none.
@@ -89,7 +100,7 @@
 	defer l.mu.Unlock()
 	var list []*host
 	for _, h := range l.site.entries {
-		if l.rotation[h] {
+		if reason, known := l.rotation[h]; known && reason == "" {
 			list = append(list, h)
 		}
 	}
@@ -118,6 +129,21 @@
 	return n
 }
 
+// outcomes counts requests by status and verdict, and says who is in rotation.
+func (l *load) outcomes() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make(map[string]int)
+	for _, r := range l.requests {
+		counts[fmt.Sprintf("status %d %s complete %t", r.Status, r.Verdict, r.Complete)]++
+	}
+	rotation := make(map[string]string)
+	for h, reason := range l.rotation {
+		rotation[h.name] = reason
+	}
+	return fmt.Sprintf("outcomes %v, not ready %q", counts, rotation)
+}
+
 // waitAnswers waits until so many more requests were answered.
 func (l *load) waitAnswers(t *testing.T, more int) {
 	t.Helper()
@@ -125,7 +151,7 @@
 	deadline := time.Now().Add(settleTimeout)
 	for l.answered() < want {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d of %d requests were answered", l.answered(), want)
+			t.Fatalf("%d of %d requests were answered; %s", l.answered(), want, l.outcomes())
 		}
 		time.Sleep(pollInterval)
 	}
