settings: each bound is read by a process or is gone

Cause: 25 settings stood in files and documents and nothing read them. Change: connections (refusals with a verdict and Retry-After, then closed), buffered_bytes, queue_*, watches, reconnect_*, peer_connections, an agent's connections, cache_events and call now bound what they name; defaults are the values that were in force. Freshness, quota shards and grants, store times and parallel_changes are parts of guarantees that all hosts must share, so they are constants and no settings any more. queue_workspace went: a full class puts out the workspace with most work. Ruled out: netutil.LimitListener, which makes callers wait without an answer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,6 +29,10 @@
 	Orders Orders
 	// MaxInFlight bounds the requests of all sessions together.
 	MaxInFlight int
+	// CacheEvents bounds the cache events that a state carries.
+	CacheEvents int
+	// CallTimeout bounds a plain call, whatever the entry allows it.
+	CallTimeout time.Duration
 	// LoadInterval is how often the engine is asked for its load.
 	LoadInterval time.Duration
 	// StaleLoad is the age of the last answer of the engine at which the
@@ -51,6 +55,8 @@
 // The defaults of Options.
 const (
 	DefaultMaxInFlight  = 4096
+	DefaultCacheEvents  = 256
+	DefaultCallTimeout  = time.Minute
 	DefaultLoadInterval = 250 * time.Millisecond
 	DefaultStaleLoad    = 2 * time.Second
 	DefaultLameDuck     = 2 * time.Second
@@ -73,6 +79,12 @@
 	if opts.MaxInFlight == 0 {
 		opts.MaxInFlight = DefaultMaxInFlight
 	}
+	if opts.CacheEvents == 0 {
+		opts.CacheEvents = DefaultCacheEvents
+	}
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = DefaultCallTimeout
+	}
 	if opts.LoadInterval == 0 {
 		opts.LoadInterval = DefaultLoadInterval
 	}
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -24,7 +24,8 @@
 	if !c.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.TimeoutUs)*time.Microsecond)
+	timeout := min(time.Duration(c.TimeoutUs)*time.Microsecond, a.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a.stats.Calls.Add(1)
 	response, err := a.opts.Service.Call(ctx, serviceRequest(id, c))
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -8,9 +8,6 @@
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
-// maxCacheEvents bounds the cache events kept for the next states.
-const maxCacheEvents = 256
-
 // report is the last that was heard from the engine.
 type report struct {
 	load     platform.EngineLoad
@@ -123,7 +120,7 @@
 	a.report.load = load
 	a.report.received = time.Now()
 	a.report.events = append(a.report.events, events...)
-	if over := len(a.report.events) - maxCacheEvents; over > 0 {
+	if over := len(a.report.events) - a.opts.CacheEvents; over > 0 {
 		a.report.events = a.report.events[over:]
 	}
 	if len(events) > 0 {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -8,18 +8,23 @@
 	"github.com/pkg/errors"
 )
 
-// readBody reads the whole body within the limits of size and time.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the whole body within the limits of size and time. The caller
+// calls release once the body is no longer held, also after an error.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), err error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.opts.Timeouts.Body))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.Limits.BodyBytes))
-	if err == nil {
-		return body, nil
-	}
+	reader := &budgetReader{Reader: http.MaxBytesReader(w, r.Body, s.opts.Limits.BodyBytes), budget: &s.bodies}
+	body, err = io.ReadAll(reader)
 	var tooBig *http.MaxBytesError
-	if errors.As(err, &tooBig) {
-		return nil, errBodyTooBig
+	switch {
+	case err == nil:
+		return body, reader.release, nil
+	case errors.As(err, &tooBig):
+		return nil, reader.release, errBodyTooBig
+	case errors.Is(err, errBuffersFull):
+		return nil, reader.release, errBuffersFull
+	default:
+		return nil, reader.release, errBodyLost
 	}
-	return nil, errBodyLost
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -25,7 +25,13 @@
 		s.fail(w, r, err)
 		return
 	}
-	g, err := s.newGeneration(w, r, view, caller, chat)
+	body, release, err := s.readBody(w, r)
+	defer release()
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	g, err := s.newGeneration(w, r, body, view, caller, chat)
 	if err != nil {
 		s.fail(w, r, err)
 		return
@@ -38,15 +44,11 @@
 }
 
 // newGeneration checks the request and returns what to generate.
-func (s *Server) newGeneration(w http.ResponseWriter, r *http.Request, view *snapshot.View, caller Caller, chat bool) (*generation, error) {
+func (s *Server) newGeneration(w http.ResponseWriter, r *http.Request, body []byte, view *snapshot.View, caller Caller, chat bool) (*generation, error) {
 	class, err := classOf(r)
 	if err != nil {
 		return nil, err
 	}
-	body, err := s.readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
 	if caller.carriesKey(body, r.URL, nil) {
 		return nil, errKeyInBody
 	}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -17,6 +17,7 @@
 	errBadKey      = verdict.New(verdict.NotRun, http.StatusUnauthorized, "invalid_key", "the key is unknown or revoked")
 	errKeyInBody   = verdict.New(verdict.NotRun, http.StatusBadRequest, "key_in_request", "the key must only be sent in the Authorization or X-Api-Key header")
 	errBodyTooBig  = verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than allowed")
+	errBuffersFull = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "buffers_full", "the host holds as many bytes of bodies as it may").After(retrySoon)
 	errBodyLost    = verdict.New(verdict.NotRun, http.StatusRequestTimeout, "body_incomplete", "the body did not arrive in time")
 )
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -77,6 +77,8 @@
 type Limits struct {
 	// BodyBytes bounds a body, PromptBytes a prompt.
 	BodyBytes, PromptBytes int64
+	// BufferedBytes bounds the bodies of all requests being served.
+	BufferedBytes int64
 	// OpenRequests bounds the requests being served.
 	OpenRequests int
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 	retry  *retryBudget
 	stats  Stats
 	open   atomic.Int64
+	bodies bodyBudget
 }
 
 // DefaultAttempts is how many endpoints are tried for one request.
@@ -27,6 +28,7 @@
 		opts.Attempts = DefaultAttempts
 	}
 	s := &Server{opts: opts, retry: newRetryBudget()}
+	s.bodies.bound = opts.Limits.BufferedBytes
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/chat/completions", s.handleChat).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", s.handleCompletion).Methods(http.MethodPost)
@@ -48,6 +50,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.stats.Requests.Add(1)
 	r = withRequestID(w, r)
+	if refusedConn(r) {
+		w.Header().Set("Connection", "close")
+		s.fail(w, r, errTooManyConnections)
+		return
+	}
 	open := s.open.Add(1)
 	defer s.open.Add(-1)
 	if s.opts.Limits.OpenRequests > 0 && open > int64(s.opts.Limits.OpenRequests) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -48,7 +48,8 @@
 
 // forward sends the call and writes the whole answer.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, caller Caller, name string, spec resource.RouteSpec) {
-	body, err := s.readBody(w, r)
+	body, release, err := s.readBody(w, r)
+	defer release()
 	if err != nil {
 		s.fail(w, r, err)
 		return
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -101,7 +101,7 @@
 }
 
 // newSite starts an entry host; each option set becomes one agent.
-func newSite(tb testing.TB, agents map[string]agent.Options) *site {
+func newSite(tb testing.TB, agents map[string]agent.Options, change ...func(*entry.Options)) *site {
 	tb.Helper()
 	s := &site{store: kv.New(kv.Options{}), agents: make(map[string]*testAgent)}
 	tb.Cleanup(s.store.Close)
@@ -131,14 +131,14 @@
 	})
 	go s.holder.Run(ctx)
 	s.configure(tb, ctx)
-	s.serve(tb)
+	s.serve(tb, change...)
 	return s
 }
 
-func (s *site) serve(tb testing.TB) {
+func (s *site) serve(tb testing.TB, change ...func(*entry.Options)) {
 	queues := entry.NewQueues(queue.DefaultSettings())
 	queues.SetCapacity(testModel, queue.Capacity{PrefillTokens: 1 << 20, Pieces: 1 << 20, PrefillRate: 1 << 20, DecodeRate: 1 << 20})
-	s.server = entry.New(entry.Options{
+	o := entry.Options{
 		Domain: "north", Config: s.holder, Router: s.router, Sessions: s.fleet,
 		Quota: noQuota{}, Queue: queues, Claims: once.New(s.store, once.Options{}), Usage: noUsage{},
 		Limits: entry.Limits{BodyBytes: 1 << 20, PromptBytes: 1 << 20, OpenRequests: 10_000},
@@ -146,7 +146,11 @@
 			Body: 5 * time.Second, Write: 5 * time.Second, Queue: 5 * time.Second,
 			FirstToken: 5 * time.Second, BetweenTokens: 2 * time.Second, Call: 5 * time.Second,
 		},
-	})
+	}
+	for _, one := range change {
+		one(&o)
+	}
+	s.server = entry.New(o)
 	server := httptest.NewServer(s.server)
 	tb.Cleanup(server.Close)
 	s.url = server.URL
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -56,6 +56,8 @@
 		Domain:       s.Domain,
 		Incarnation:  observe.NewRequestID(),
 		MaxInFlight:  s.Limits.Streams,
+		CacheEvents:  s.Limits.CacheEvents,
+		CallTimeout:  s.Timeouts.Call.Std(),
 		LoadInterval: s.Timeouts.Load.Std(),
 		RPC:          agentRPC(s),
 	}
@@ -81,6 +83,7 @@
 		DialTimeout:  s.Timeouts.Dial.Std(),
 		MessageBytes: int(s.Limits.MessageBytes),
 		MaxStreams:   s.Limits.Streams,
+		MaxConns:     s.Limits.Connections,
 		OutboxBytes:  int(s.Limits.SessionQueueBytes),
 	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -86,7 +86,7 @@
 		log:         log,
 		registry:    observe.NewRegistry(observe.Identity{Process: s.Name, Role: "entry", Domain: s.Domain}),
 		store:       platform.NewHTTPStore(s.Platform.Store, nil),
-		queues:      entry.NewQueues(queue.DefaultSettings()),
+		queues:      entry.NewQueues(queueSettings(s)),
 		capacityDue: make(chan struct{}, 1),
 		killed:      make(chan struct{}),
 	}
@@ -163,6 +163,9 @@
 
 func entryRPC(s settings.Entry) rpc.Options {
 	return rpc.Options{
+		ReconnectMin: s.Timeouts.ReconnectMin.Std(),
+		ReconnectMax: s.Timeouts.ReconnectMax.Std(),
+		MaxConns:     s.Limits.PeerConnections,
 		Heartbeat:    s.Timeouts.Heartbeat.Std(),
 		Silence:      s.Timeouts.Silent.Std(),
 		DialTimeout:  s.Timeouts.Dial.Std(),
@@ -173,6 +176,15 @@
 	}
 }
 
+// queueSettings are the bounds of each model's queue.
+func queueSettings(s settings.Entry) queue.Settings {
+	q := queue.DefaultSettings()
+	q.Classes[queue.Interactive].MaxWaiting = s.Limits.QueueInteractive
+	q.Classes[queue.Standard].MaxWaiting = s.Limits.QueueStandard
+	q.Classes[queue.Batch].MaxWaiting = s.Limits.QueueBatch
+	return q
+}
+
 func (e *Entry) callerOptions() entry.Options {
 	s := e.settings
 	return entry.Options{
@@ -185,9 +197,10 @@
 		Claims:   e.claims,
 		Usage:    e.recorder,
 		Limits: entry.Limits{
-			BodyBytes:    s.Limits.BodyBytes,
-			PromptBytes:  s.Limits.PromptBytes,
-			OpenRequests: s.Limits.OpenRequests,
+			BodyBytes:     s.Limits.BodyBytes,
+			BufferedBytes: s.Limits.BufferedBytes,
+			PromptBytes:   s.Limits.PromptBytes,
+			OpenRequests:  s.Limits.OpenRequests,
 		},
 		Timeouts: entry.Timeouts{
 			Body:          s.Timeouts.Body.Std(),
@@ -258,7 +271,9 @@
 	}
 	serve(func() error { return e.peers.Serve(serving, e.peerListener) })
 	serve(func() error { return serveHTTP(serving, operators, e.operatorListener) })
-	g.Go(func() error { return serveHTTP(serving, callers, e.callerListener) })
+	g.Go(func() error {
+		return serveHTTP(serving, callers, entry.LimitConnections(e.callerListener, e.settings.Limits.Connections))
+	})
 	background := startLoops(ctx,
 		e.exchanger.Run, e.config.Run, e.followConfig, e.followCapacity,
 		e.holders.Run, e.runSlots, e.runQuota, e.keepers.Run, e.leases.Run)
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/opsapi"
 )
@@ -18,6 +19,7 @@
 		ReadHeaderTimeout: e.settings.Timeouts.Header.Std(),
 		IdleTimeout:       e.settings.Timeouts.Idle.Std(),
 		MaxHeaderBytes:    int(e.settings.Limits.HeaderBytes),
+		ConnContext:       entry.ConnContext,
 	}
 }
 
@@ -32,6 +34,7 @@
 		Configuration: e.config,
 		Operators:     e.apiOperators(),
 		Host:          e.settings.Name,
+		Watches:       e.settings.Limits.Watches,
 		Logger:        e.log,
 	}))
 	return &http.Server{Handler: root, ReadHeaderTimeout: headerTimeout}, nil
--- a/internal/opsapi/options.go
+++ b/internal/opsapi/options.go
@@ -31,6 +31,8 @@
 type Options struct {
 	Configuration Configuration
 	Operators     []Operator
+	// Watches bounds the watches that wait at a time, DefaultWatches for zero.
+	Watches int
 	// Host names this entry host in answers.
 	Host string
 	// Logger takes the audit log and faults of the interface.
@@ -47,8 +49,8 @@
 	maxApplyBytes = 32 << 20
 	// maxChanges bounds the changes in work at a time.
 	maxChanges = 8
-	// maxWatchers bounds the watches that wait at a time.
-	maxWatchers = 256
+	// DefaultWatches bounds the watches that wait at a time.
+	DefaultWatches = 256
 	// maxListed bounds the resources of one list answer.
 	maxListed = 1000
 	// maxResources bounds the resources of a kind.
--- a/internal/opsapi/refusal.go
+++ b/internal/opsapi/refusal.go
@@ -38,6 +38,15 @@
 	return &refusal{cause: verdict.New(verdict.NotRun, status, code, message)}
 }
 
+// retrySoon is when a bound on what is in work at a time is worth trying again.
+const retrySoon = 2 * time.Second
+
+// after names the time after which a repeat is worth trying.
+func (r *refusal) after(d time.Duration) *refusal {
+	r.cause = r.cause.After(d)
+	return r
+}
+
 func refuseFaults(faults resource.Faults) *refusal {
 	r := refuse(http.StatusUnprocessableEntity, "invalid", "the change is not valid; nothing was changed")
 	r.faults = faults
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -32,11 +32,14 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Watches == 0 {
+		o.Watches = DefaultWatches
+	}
 	s := &server{
 		o:         o,
 		operators: newAuthenticator(o),
 		changes:   make(chan struct{}, maxChanges),
-		watchers:  make(chan struct{}, maxWatchers),
+		watchers:  make(chan struct{}, o.Watches),
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(pathResources, s.guard(s.list)).Methods(http.MethodGet)
--- a/internal/opsapi/watch.go
+++ b/internal/opsapi/watch.go
@@ -44,7 +44,7 @@
 	case s.watchers <- struct{}{}:
 		defer func() { <-s.watchers }()
 	default:
-		return refuse(http.StatusServiceUnavailable, "busy", "too many watches are waiting")
+		return refuse(http.StatusServiceUnavailable, "busy", "too many watches are waiting").after(retrySoon)
 	}
 	sub, err := s.subscribe(r)
 	if err != nil {
--- a/internal/opsapi/write.go
+++ b/internal/opsapi/write.go
@@ -72,7 +72,7 @@
 	case s.changes <- struct{}{}:
 		defer func() { <-s.changes }()
 	default:
-		return refuse(http.StatusServiceUnavailable, "busy", "too many changes are in work")
+		return refuse(http.StatusServiceUnavailable, "busy", "too many changes are in work").after(retrySoon)
 	}
 	var results []Result
 	o, err := s.o.Configuration.Change(r.Context(), func(v *snapshot.View) (snapshot.Change, error) {
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -24,12 +24,6 @@
 	onState  func(*wire.AgentState)
 }
 
-// The bounds of the wait between two attempts to connect.
-const (
-	reconnectFirst = 50 * time.Millisecond
-	reconnectMost  = 3 * time.Second
-)
-
 // NewLink returns a link to the agent's address. onState is called for each
 // state that the agent sends, and with nil when the session is over; it may
 // be nil.
@@ -43,8 +37,8 @@
 // Run keeps the session open until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = reconnectFirst
-	wait.MaxInterval = reconnectMost
+	wait.InitialInterval = l.opts.ReconnectMin
+	wait.MaxInterval = l.opts.ReconnectMax
 	wait.RandomizationFactor = 0.5
 	for ctx.Err() == nil {
 		if l.runOnce(ctx) {
--- a/internal/rpc/options.go
+++ b/internal/rpc/options.go
@@ -14,6 +14,9 @@
 	Heartbeat time.Duration
 	// Silence is how long a session may receive nothing before it is closed.
 	Silence time.Duration
+	// ReconnectMin is the first wait before a link connects again,
+	// ReconnectMax the longest.
+	ReconnectMin, ReconnectMax time.Duration
 	// DialTimeout bounds the connection and the TLS handshake.
 	DialTimeout time.Duration
 	// MessageBytes is the largest encoded message that is accepted.
@@ -24,17 +27,23 @@
 	MailboxBytes int
 	// OutboxBytes bounds what waits to be sent on one session.
 	OutboxBytes int
+	// MaxConns bounds a server's open connections; those beyond it are closed
+	// before the handshake.
+	MaxConns int
 }
 
 // The defaults of Options.
 const (
 	DefaultHeartbeat    = 500 * time.Millisecond
 	DefaultSilence      = 2 * time.Second
+	DefaultReconnectMin = 50 * time.Millisecond
+	DefaultReconnectMax = 3 * time.Second
 	DefaultDialTimeout  = time.Second
 	DefaultMessageBytes = 16 << 20
 	DefaultMaxStreams   = 4096
 	DefaultMailboxBytes = 64 << 10
 	DefaultOutboxBytes  = 32 << 20
+	DefaultMaxConns     = 4096
 )
 
 // frameBytes is the size at which a frame is sent although more waits.
@@ -43,11 +52,14 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.Heartbeat, DefaultHeartbeat)
 	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.ReconnectMin, DefaultReconnectMin)
+	setDefault(&o.ReconnectMax, DefaultReconnectMax)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.MessageBytes, DefaultMessageBytes)
 	setDefault(&o.MaxStreams, DefaultMaxStreams)
 	setDefault(&o.MailboxBytes, DefaultMailboxBytes)
 	setDefault(&o.OutboxBytes, DefaultOutboxBytes)
+	setDefault(&o.MaxConns, DefaultMaxConns)
 	return o
 }
 
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -17,6 +17,8 @@
 	opts   Options
 	server *drpcserver.Server
 	conns  sync.WaitGroup
+	// open holds one entry for each connection.
+	open chan struct{}
 }
 
 // NewServer returns a server for the handler. The config decides which peers
@@ -26,6 +28,7 @@
 	return &Server{
 		tls:    config,
 		opts:   opts,
+		open:   make(chan struct{}, opts.MaxConns),
 		server: drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: opts.drpc()}),
 	}
 }
@@ -46,12 +49,20 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
-		s.conns.Go(func() { s.serveConn(ctx, conn) })
+		select {
+		case s.open <- struct{}{}:
+			s.conns.Go(func() { s.serveConn(ctx, conn) })
+		default:
+			_ = conn.Close()
+		}
 	}
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer func() {
+		_ = conn.Close()
+		<-s.open
+	}()
 	limitSilence(conn, s.opts)
 	if s.tls != nil {
 		secured, err := s.handshake(ctx, conn)
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,15 +1,5 @@
 package settings
 
-// Freshness says how long a host may use its configuration unconfirmed.
-type Freshness struct {
-	// Window is how long after a confirmation keyed routes are served.
-	Window Duration `json:"window" check:"min=100ms,max=1m"`
-	// Confirm is the time between confirmations of the head revision.
-	Confirm Duration `json:"confirm" check:"min=10ms,max=1m"`
-	// Margin is the share of Window given up to clock drift.
-	Margin Duration `json:"margin" check:"min=1ms,max=10s"`
-}
-
 // Lease is about the leases of control work.
 type Lease struct {
 	// TTL is the time that the store keeps a lease without a renewal.
@@ -38,12 +28,6 @@
 
 // Quota is about the shares of workspaces' rates.
 type Quota struct {
-	// Shards is the number of shards that workspaces are spread over.
-	Shards int `json:"shards" check:"min=1,max=4096"`
-	// Grant is how long a granted share may be used.
-	Grant Duration `json:"grant" check:"min=100ms,max=1m"`
-	// Interval is the time between requests for shares.
-	Interval Duration `json:"interval" check:"min=10ms,max=1m"`
 	// BasePercent is the part of each rate that is spread as base shares.
 	BasePercent int `json:"base_percent" check:"min=0,max=100"`
 }
@@ -80,8 +64,6 @@
 	Hold Duration `json:"hold" check:"min=1s,max=24h"`
 	// StaleReport is the age past which a load report is not decided on.
 	StaleReport Duration `json:"stale_report" check:"min=100ms,max=10m"`
-	// ParallelChanges bounds engines changing at a time in a domain.
-	ParallelChanges int `json:"parallel_changes" check:"min=1,max=1000"`
 }
 
 // Pool is about ordering endpoints.
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -24,22 +24,21 @@
 // addresses, certificates and operators have none.
 func DefaultEntry() Entry {
 	return Entry{
-		Kind:      KindEntry,
-		Limits:    defaultEntryLimits(),
-		Timeouts:  defaultEntryTimeouts(),
-		Freshness: Freshness{Window: 3 * second, Confirm: 800 * millisecond, Margin: 200 * millisecond},
-		Lease:     Lease{TTL: 8 * second, Renew: 2 * second, Margin: second, OrderDeadline: 2 * second},
+		Kind:     KindEntry,
+		Limits:   defaultEntryLimits(),
+		Timeouts: defaultEntryTimeouts(),
+		Lease:    Lease{TTL: 8 * second, Renew: 2 * second, Margin: second, OrderDeadline: 2 * second},
 		Member: Member{
 			Exchange: second, Fanout: 2, Suspect: 5 * second,
 			HostList: 5 * second, Watchers: 2,
 		},
-		Quota:   Quota{Shards: 16, Grant: 2 * second, Interval: 200 * millisecond, BasePercent: 50},
+		Quota:   Quota{BasePercent: 50},
 		Usage:   Usage{Window: minute, Flush: 2 * second, Settle: 10 * second, Shards: 4, PageBytes: 900_000},
 		Routing: Routing{Policy: "predicted"},
 		Role: Role{
 			Mode:     "steady",
 			Interval: 2 * second, Hold: minute,
-			StaleReport: 5 * second, ParallelChanges: 1,
+			StaleReport: 5 * second,
 		},
 		Pool: Pool{Interval: 5 * second, ReturnAfter: 10 * minute, OrdersInFlight: 4},
 	}
@@ -57,12 +56,11 @@
 		BufferedBytes:     512 * mib,
 		SessionStreams:    512,
 		SessionQueueBytes: 16 * mib,
-		QueueInteractive:  512,
-		QueueStandard:     1024,
-		QueueBatch:        1024,
-		QueueWorkspace:    512,
+		QueueInteractive:  2000,
+		QueueStandard:     2000,
+		QueueBatch:        2000,
 		PeerMessageBytes:  4 * mib,
-		CacheEntries:      4096,
+		PeerConnections:   4096,
 		Watches:           256,
 	}
 }
@@ -83,9 +81,7 @@
 		Silent:        2 * second,
 		Dial:          dialTimeout,
 		ReconnectMin:  50 * millisecond,
-		ReconnectMax:  2 * second,
-		Store:         second,
-		Platform:      5 * second,
+		ReconnectMax:  3 * second,
 	}
 }
 
@@ -98,24 +94,21 @@
 	return Agent{
 		Kind: KindAgent,
 		Limits: AgentLimits{
-			Sessions:          512,
+			Connections:       4096,
 			Streams:           2048,
 			MessageBytes:      16 * mib,
-			ResponseBytes:     8 * mib,
 			SessionQueueBytes: 16 * mib,
 			KVBytes:           64 * mib,
-			CacheEvents:       4096,
+			CacheEvents:       256,
 		},
 		Timeouts: AgentTimeouts{
 			Heartbeat: 500 * millisecond,
 			Silent:    2 * second,
 			Load:      250 * millisecond,
 			Dial:      dialTimeout,
-			Token:     30 * second,
-			Call:      30 * second,
+			Call:      minute,
 			Order:     10 * minute,
 			Drain:     2 * minute,
-			Store:     second,
 		},
 	}
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -29,8 +29,6 @@
 	Limits EntryLimits `json:"limits"`
 	// Timeouts bounds how long the process waits.
 	Timeouts EntryTimeouts `json:"timeouts"`
-	// Freshness says how long the host may use its configuration unconfirmed.
-	Freshness Freshness `json:"freshness"`
 	// Lease is about the leases of control work.
 	Lease Lease `json:"lease"`
 	// Member is about the membership table.
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -22,36 +22,32 @@
 	SessionStreams int `json:"session_streams" check:"min=1,max=100000"`
 	// SessionQueueBytes bounds what waits to be sent on one session.
 	SessionQueueBytes int64 `json:"session_queue_bytes" check:"min=65536,max=1073741824"`
-	// QueueInteractive bounds waiting interactive requests.
+	// QueueInteractive bounds waiting interactive requests of one model.
 	QueueInteractive int `json:"queue_interactive" check:"min=1,max=1000000"`
-	// QueueStandard bounds waiting standard requests.
+	// QueueStandard bounds waiting standard requests of one model.
 	QueueStandard int `json:"queue_standard" check:"min=1,max=1000000"`
-	// QueueBatch bounds waiting batch requests.
+	// QueueBatch bounds waiting batch requests of one model.
 	QueueBatch int `json:"queue_batch" check:"min=1,max=1000000"`
-	// QueueWorkspace bounds waiting requests of one workspace.
-	QueueWorkspace int `json:"queue_workspace" check:"min=1,max=1000000"`
 	// PeerMessageBytes bounds a message between entry hosts.
 	PeerMessageBytes int64 `json:"peer_message_bytes" check:"min=65536,max=67108864"`
-	// CacheEntries bounds the predicted cache prefixes held per endpoint.
-	CacheEntries int `json:"cache_entries" check:"min=1,max=1000000"`
+	// PeerConnections bounds connections from other entry hosts.
+	PeerConnections int `json:"peer_connections" check:"min=1,max=1000000"`
 	// Watches bounds operators' open watches.
 	Watches int `json:"watches" check:"min=1,max=100000"`
 }
 
 // AgentLimits bounds what an agent process holds at a time.
 type AgentLimits struct {
-	// Sessions bounds entry hosts' sessions.
-	Sessions int `json:"sessions" check:"min=1,max=10000"`
+	// Connections bounds connections from entry hosts and other agents.
+	Connections int `json:"connections" check:"min=1,max=100000"`
 	// Streams bounds open requests of all sessions.
 	Streams int `json:"streams" check:"min=1,max=100000"`
 	// MessageBytes bounds one message on a session.
 	MessageBytes int64 `json:"message_bytes" check:"min=65536,max=1073741824"`
-	// ResponseBytes bounds the answer of one plain call.
-	ResponseBytes int64 `json:"response_bytes" check:"min=1024,max=1073741824"`
 	// SessionQueueBytes bounds what waits to be sent on one session.
 	SessionQueueBytes int64 `json:"session_queue_bytes" check:"min=65536,max=1073741824"`
 	// KVBytes bounds one exported KV cache.
 	KVBytes int64 `json:"kv_bytes" check:"min=1024,max=4294967296"`
-	// CacheEvents bounds the cache events kept for slow sessions.
+	// CacheEvents bounds the cache events that a state carries.
 	CacheEvents int `json:"cache_events" check:"min=1,max=1000000"`
 }
--- a/internal/settings/relations.go
+++ b/internal/settings/relations.go
@@ -13,11 +13,9 @@
 	d.notAbove("limits.body_bytes", e.Limits.BodyBytes, "limits.buffered_bytes", e.Limits.BufferedBytes)
 	d.below("timeouts.heartbeat", e.Timeouts.Heartbeat*2, "timeouts.silent", e.Timeouts.Silent, "twice ")
 	d.below("timeouts.reconnect_min", e.Timeouts.ReconnectMin, "timeouts.reconnect_max", e.Timeouts.ReconnectMax, "")
-	d.below("freshness.confirm", e.Freshness.Confirm+e.Freshness.Margin, "freshness.window", e.Freshness.Window, "with freshness.margin ")
 	d.below("lease.renew", e.Lease.Renew*2+e.Lease.Margin, "lease.ttl", e.Lease.TTL, "twice with lease.margin ")
 	d.below("lease.order_deadline", e.Lease.OrderDeadline+e.Lease.Margin, "lease.ttl", e.Lease.TTL, "with lease.margin ")
 	d.below("member.exchange", e.Member.Exchange*2, "member.suspect", e.Member.Suspect, "twice ")
-	d.below("quota.interval", e.Quota.Interval*2, "quota.grant", e.Quota.Grant, "twice ")
 	d.below("usage.flush", e.Usage.Flush, "usage.settle", e.Usage.Settle, "")
 }
 
--- a/internal/settings/timeouts.go
+++ b/internal/settings/timeouts.go
@@ -32,10 +32,6 @@
 	ReconnectMin Duration `json:"reconnect_min" check:"min=1ms,max=1m"`
 	// ReconnectMax is the longest wait before a new connection.
 	ReconnectMax Duration `json:"reconnect_max" check:"min=1ms,max=10m"`
-	// Store is how long one call of the store may take.
-	Store Duration `json:"store" check:"min=10ms,max=1m"`
-	// Platform is how long one call of another platform service may take.
-	Platform Duration `json:"platform" check:"min=10ms,max=10m"`
 }
 
 // AgentTimeouts bounds how long an agent process waits.
@@ -48,14 +44,10 @@
 	Load Duration `json:"load" check:"min=10ms,max=1m"`
 	// Dial is how long a connection to the endpoint may take to open.
 	Dial Duration `json:"dial" check:"min=10ms,max=1m"`
-	// Token is how long the engine may take to each next token.
-	Token Duration `json:"token" check:"min=10ms,max=1h"`
 	// Call is the longest time for a plain call.
 	Call Duration `json:"call" check:"min=10ms,max=1h"`
 	// Order is how long the engine may take to finish an order.
 	Order Duration `json:"order" check:"min=10ms,max=24h"`
 	// Drain is how long a planned stop waits for running requests.
 	Drain Duration `json:"drain" check:"min=100ms,max=24h"`
-	// Store is how long one call of the store may take.
-	Store Duration `json:"store" check:"min=10ms,max=1m"`
 }
