exit: one type carries the exit code of an error

Cause: the numbers stood once, but two types carried them (failure in the command, ExitError in opsclient) and each operators' command translated. Ruled out: keeping ExitError exported, which only one caller used. Conclusion: every command's code comes from internal/exit.

--- a/cmd/acacialink/certs.go
+++ b/cmd/acacialink/certs.go
@@ -43,7 +43,7 @@
 func writeCert(authority *certs.Authority, dir, process string) error {
 	role, name, ok := strings.Cut(process, "/")
 	if !ok || (role != string(certs.RoleEntry) && role != string(certs.RoleAgent)) {
-		return failed(exit.Usage, errors.Errorf("%q is neither entry/NAME nor agent/NAME", process))
+		return exit.With(exit.Usage, errors.Errorf("%q is neither entry/NAME nor agent/NAME", process))
 	}
 	pair, err := authority.Issue(certs.Role(role), name, net.IPv4(127, 0, 0, 1))
 	if err != nil {
--- a/cmd/acacialink/dump.go
+++ b/cmd/acacialink/dump.go
@@ -28,10 +28,10 @@
 	defer cancel()
 	err := observe.Dump(ctx, address, token, part, os.Stdout)
 	if errors.Is(err, observe.ErrUnreachable) {
-		return failed(exit.Unreachable, err)
+		return exit.With(exit.Unreachable, err)
 	}
 	if errors.Is(err, observe.ErrNotOperator) {
-		return failed(exit.Refused, err)
+		return exit.With(exit.Refused, err)
 	}
 	return err
 }
--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -44,5 +44,5 @@
 	if !parsed {
 		return exit.Usage
 	}
-	return codeOf(err)
+	return exit.CodeOf(err)
 }
--- a/cmd/acacialink/operators.go
+++ b/cmd/acacialink/operators.go
@@ -40,7 +40,7 @@
 	o := clientFlags(command)
 	waitFlag(command, o)
 	command.Action(func(*kingpin.ParseContext) error {
-		return operatorFailure(opsclient.Apply(context.Background(), *o, *file, os.Stdout))
+		return opsclient.Apply(context.Background(), *o, *file, os.Stdout)
 	})
 }
 
@@ -50,7 +50,7 @@
 	name := command.Arg("name", "Name of the resource.").String()
 	o := clientFlags(command)
 	command.Action(func(*kingpin.ParseContext) error {
-		return operatorFailure(opsclient.Get(context.Background(), *o, *kind, *name, os.Stdout))
+		return opsclient.Get(context.Background(), *o, *kind, *name, os.Stdout)
 	})
 }
 
@@ -62,7 +62,7 @@
 	command.Action(func(*kingpin.ParseContext) error {
 		ctx, stop := untilStopped()
 		defer stop()
-		return operatorFailure(opsclient.Watch(ctx, *o, *kind, *after, os.Stdout))
+		return opsclient.Watch(ctx, *o, *kind, *after, os.Stdout)
 	})
 }
 
@@ -74,11 +74,6 @@
 	o := clientFlags(command)
 	waitFlag(command, o)
 	command.Action(func(*kingpin.ParseContext) error {
-		return operatorFailure(opsclient.Delete(context.Background(), *o, *kind, *name, *revision, os.Stdout))
+		return opsclient.Delete(context.Background(), *o, *kind, *name, *revision, os.Stdout)
 	})
 }
-
-// operatorFailure gives err the exit code that the client's commands document.
-func operatorFailure(err error) error {
-	return failed(opsclient.CodeOf(err), err)
-}
--- a/cmd/acacialink/process.go
+++ b/cmd/acacialink/process.go
@@ -33,11 +33,11 @@
 func runEntry(path string) error {
 	s, err := settings.LoadEntry(path)
 	if err != nil {
-		return failed(exit.Settings, err)
+		return exit.With(exit.Settings, err)
 	}
 	source, err := sourceOf(s.TLS)
 	if err != nil {
-		return failed(exit.Settings, err)
+		return exit.With(exit.Settings, err)
 	}
 	ctx, stop := untilStopped()
 	defer stop()
@@ -58,11 +58,11 @@
 func runAgent(path string) error {
 	s, err := settings.LoadAgent(path)
 	if err != nil {
-		return failed(exit.Settings, err)
+		return exit.With(exit.Settings, err)
 	}
 	source, err := sourceOf(s.TLS)
 	if err != nil {
-		return failed(exit.Settings, err)
+		return exit.With(exit.Settings, err)
 	}
 	ctx, stop := untilStopped()
 	defer stop()
--- a/cmd/acacialink/replay.go
+++ b/cmd/acacialink/replay.go
@@ -68,7 +68,7 @@
 	if err == nil && code != exit.OK {
 		err = errOutcomes
 	}
-	return failed(code, err)
+	return exit.With(code, err)
 }
 
 func addCompare(app *kingpin.Application) {
--- a/cmd/acacialink/settings.go
+++ b/cmd/acacialink/settings.go
@@ -20,13 +20,13 @@
 func checkSettings(path string) error {
 	problems, err := settings.Check(path)
 	if err != nil {
-		return failed(exit.Settings, err)
+		return exit.With(exit.Settings, err)
 	}
 	for _, p := range problems {
 		fmt.Printf("%s: %s\n", path, p)
 	}
 	if len(problems) > 0 {
-		return failed(exit.Settings, errors.Errorf("%s has %d problems", path, len(problems)))
+		return exit.With(exit.Settings, errors.Errorf("%s has %d problems", path, len(problems)))
 	}
 	fmt.Printf("%s: settings are valid\n", path)
 	return nil
--- a/cmd/acacialink/standin.go
+++ b/cmd/acacialink/standin.go
@@ -30,7 +30,7 @@
 func runStandin(name, address string, o standin.NamedOptions) error {
 	handler, err := standin.NewNamed(name, o)
 	if err != nil {
-		return failed(exit.Usage, err)
+		return exit.With(exit.Usage, err)
 	}
 	ctx, stop := untilStopped()
 	defer stop()
--- a/internal/opsclient/client_test.go
+++ b/internal/opsclient/client_test.go
@@ -70,13 +70,13 @@
 	o, store := newOptions(t)
 	var out bytes.Buffer
 	apply := func(text string) exit.Code {
-		return opsclient.CodeOf(opsclient.Apply(t.Context(), o, writeFile(t, text), &out))
+		return exit.CodeOf(opsclient.Apply(t.Context(), o, writeFile(t, text), &out))
 	}
 	is.Equal(apply(`{"kind": `), exit.Settings)
 	is.Equal(apply(`{"name": "x"}`), exit.Settings)
 	is.Equal(apply(`[{"kind":"workspace","name":"w","spec":{}}]`), exit.Settings)
 	is.Equal(apply(`[{"kind":"workspace","name":"w","revision":7,"spec":{"rate_tokens":5,"burst_tokens":9}}]`), exit.Conflict)
-	is.Equal(opsclient.CodeOf(opsclient.Get(t.Context(), o, "pool", "none", &out)), exit.NotFound)
+	is.Equal(exit.CodeOf(opsclient.Get(t.Context(), o, "pool", "none", &out)), exit.NotFound)
 	store.SetDown(true)
 	is.Equal(apply(sample), exit.Unreachable)
 	o.Token = "wrong"
--- a/internal/opsclient/command.go
+++ b/internal/opsclient/command.go
@@ -99,7 +99,7 @@
 		if err == nil && last.InForce {
 			return nil
 		}
-		if code := CodeOf(err); err != nil && code != exit.Unreachable {
+		if code := exit.CodeOf(err); err != nil && code != exit.Unreachable {
 			return err
 		}
 		select {
