rpc: sessions without open requests beat a third as often

Cause: 31 watch sessions of a node beat every 500 ms in both directions, 4.6 KB/s (computed in docs/design/member.md) of the 3 KB/s allowed. Change: without open requests both sides beat every silent - heartbeat (1.5 s, computed 1.6 KB/s a direction) and tolerate 2.5 times silent (5 s); with an open one the bound is silent, from its opening on. The watchdog never counts past 5 s after the last frame, so requests that come and go on a dead path put off nothing. Ruled out: 2 s between beats. It equals silent: a request that takes long to reach the agent would make the entry end a live session. Figures: go test -race -count=3 ./internal/rpc passes; test/fault TestSilentConnectionsAreReplaced and TestPausedProcessesBreakNoPromise pass. Conclusion: changes of readiness are still sent at once.

--- /dev/null
+++ b/internal/rpc/idle_test.go
@@ -0,0 +1,35 @@
+package rpc
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+)
+
+// TestIdleSessionBeatsSeldom counts the states that arrive: without requests
+// only the first one, with one open request one for each heartbeat.
+func TestIdleSessionBeatsSeldom(t *testing.T) {
+	is := is.New(t)
+	opts := Options{Heartbeat: 5 * time.Millisecond, Silence: time.Minute, IdleHeartbeat: time.Hour}
+	agent := &fakeAgent{opts: opts, hold: make(chan struct{})}
+	conn, err := NewDialer(nil, opts).Dial(t.Context(), startAgent(t, agent))
+	is.NoErr(err)
+	var states atomic.Int64
+	s, err := OpenSession(conn, opts, &Stats{}, func(*wire.AgentState) { states.Add(1) })
+	is.NoErr(err)
+	t.Cleanup(s.Close)
+	time.Sleep(20 * opts.Heartbeat)
+	is.True(states.Load() <= 1)
+	call, err := s.Open("r", generate(1))
+	is.NoErr(err)
+	for states.Load() < 5 && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	close(agent.hold)
+	_, err = collect(t.Context(), call)
+	is.NoErr(err)
+}
--- a/internal/rpc/options.go
+++ b/internal/rpc/options.go
@@ -10,10 +10,15 @@
 // Options bounds connections and sessions. The zero value of a field takes
 // the default.
 type Options struct {
-	// Heartbeat is the interval of heartbeats on a session.
+	// Heartbeat is the interval of heartbeats on a session with open requests.
 	Heartbeat time.Duration
-	// Silence is how long a session may receive nothing before it is closed.
+	// Silence is how long a session with open requests may receive nothing
+	// before it is closed.
 	Silence time.Duration
+	// IdleHeartbeat and IdleSilence are the same for a session without open
+	// requests. IdleHeartbeat is below Silence: the two sides may see the
+	// opening of a request at different times, as when a long one is on its way.
+	IdleHeartbeat, IdleSilence time.Duration
 	// ReconnectMin is the first wait before a link connects again,
 	// ReconnectMax the longest.
 	ReconnectMin, ReconnectMax time.Duration
@@ -46,12 +51,17 @@
 	DefaultMaxConns     = 4096
 )
 
+// idleSilenceShare is how many times Silence the default of IdleSilence is.
+const idleSilenceShare = 2.5
+
 // frameBytes is the size at which a frame is sent although more waits.
 const frameBytes = 256 << 10
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Heartbeat, DefaultHeartbeat)
 	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.IdleHeartbeat, max(o.Heartbeat, o.Silence-o.Heartbeat))
+	setDefault(&o.IdleSilence, time.Duration(idleSilenceShare*float64(o.Silence)))
 	setDefault(&o.ReconnectMin, DefaultReconnectMin)
 	setDefault(&o.ReconnectMax, DefaultReconnectMax)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
--- a/internal/rpc/serving.go
+++ b/internal/rpc/serving.go
@@ -72,6 +72,7 @@
 	opts    Options
 	out     *outbox[*wire.AgentMessage]
 	work    sync.WaitGroup
+	dog     *watchdog
 
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
@@ -88,6 +89,8 @@
 		out:     newOutbox[*wire.AgentMessage](opts.OutboxBytes),
 		cancels: make(map[uint64]context.CancelFunc),
 	}
+	s.dog = newWatchdog(opts, func() { closeConn(stream.Context()) })
+	defer s.dog.stop()
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer s.work.Wait()
 	defer s.out.close()
@@ -97,14 +100,12 @@
 }
 
 func (s *serving) receive(ctx context.Context) error {
-	watchdog := time.AfterFunc(s.opts.Silence, func() { closeConn(s.stream.Context()) })
-	defer watchdog.Stop()
 	for {
 		frame, err := s.stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
-		watchdog.Reset(s.opts.Silence)
+		s.dog.frame()
 		for _, m := range frame.Messages {
 			s.dispatch(ctx, m)
 		}
@@ -136,6 +137,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s.cancels[stream] = cancel
+	s.dog.setBusy(true)
 	return ctx, true
 }
 
@@ -143,21 +145,32 @@
 	s.mu.Lock()
 	cancel := s.cancels[stream]
 	delete(s.cancels, stream)
+	s.dog.setBusy(len(s.cancels) > 0)
 	s.mu.Unlock()
 	if cancel != nil {
 		cancel()
 	}
 }
 
+// openStreams counts the requests of the session.
+func (s *serving) openStreams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.cancels)
+}
+
+// send sends answers, and the state with each heartbeat and change.
 func (s *serving) send(ctx context.Context) {
 	ticker := time.NewTicker(s.opts.Heartbeat)
 	defer ticker.Stop()
 	due := true
+	var beaten time.Time
 	for {
 		changed := s.handler.Changed()
 		frame := &wire.AgentFrame{Messages: s.out.take(frameBytes)}
 		if due {
 			frame.State = s.handler.State()
+			beaten = time.Now()
 		}
 		if due || len(frame.Messages) > 0 {
 			if err := s.stream.Send(frame); err != nil {
@@ -173,7 +186,7 @@
 		case <-changed:
 			due = true
 		case <-ticker.C:
-			due = true
+			due = s.openStreams() > 0 || time.Since(beaten) >= s.opts.IdleHeartbeat-s.opts.Heartbeat/2
 		}
 	}
 }
--- a/internal/rpc/session.go
+++ b/internal/rpc/session.go
@@ -24,6 +24,7 @@
 	stats   *Stats
 	onState func(*wire.AgentState)
 	done    chan struct{}
+	dog     *watchdog
 
 	mu    sync.Mutex
 	calls map[uint64]*Call
@@ -50,6 +51,10 @@
 		done:    make(chan struct{}),
 		calls:   make(map[uint64]*Call),
 	}
+	s.dog = newWatchdog(opts, func() {
+		stats.Silent.Add(1)
+		s.end(ErrSilent)
+	})
 	go s.send()
 	go s.receive()
 	return s, nil
@@ -86,6 +91,7 @@
 	s.last++
 	call := &Call{session: s, stream: s.last, requestID: requestID, box: newMailbox(s.opts.MailboxBytes)}
 	s.calls[call.stream] = call
+	s.dog.setBusy(true)
 	return call, nil
 }
 
@@ -95,6 +101,7 @@
 	defer s.mu.Unlock()
 	_, open := s.calls[stream]
 	delete(s.calls, stream)
+	s.dog.setBusy(len(s.calls) > 0)
 	return open
 }
 
@@ -111,6 +118,7 @@
 func (s *Session) send() {
 	ticker := time.NewTicker(s.opts.Heartbeat)
 	defer ticker.Stop()
+	var beaten time.Time
 	for {
 		beat := false
 		select {
@@ -118,7 +126,7 @@
 			return
 		case <-s.out.wake:
 		case <-ticker.C:
-			beat = true
+			beat = s.openCalls() > 0 || time.Since(beaten) >= s.opts.IdleHeartbeat-s.opts.Heartbeat/2
 		}
 		group := s.out.take(frameBytes)
 		if len(group) == 0 && !beat {
@@ -128,22 +136,19 @@
 			s.end(errors.Wrap(err, "send"))
 			return
 		}
+		beaten = time.Now()
 	}
 }
 
 func (s *Session) receive() {
-	watchdog := time.AfterFunc(s.opts.Silence, func() {
-		s.stats.Silent.Add(1)
-		s.end(ErrSilent)
-	})
-	defer watchdog.Stop()
+	defer s.dog.stop()
 	for {
 		frame, err := s.stream.Recv()
 		if err != nil {
 			s.end(errors.Wrap(err, "receive"))
 			return
 		}
-		watchdog.Reset(s.opts.Silence)
+		s.dog.frame()
 		if frame.State != nil {
 			s.onState(frame.State)
 		}
@@ -158,6 +163,7 @@
 	call, ok := s.calls[m.Stream]
 	if ok && call.requestID == m.RequestId && ends(m) {
 		delete(s.calls, m.Stream)
+		s.dog.setBusy(len(s.calls) > 0)
 	}
 	s.mu.Unlock()
 	if !ok {
--- a/internal/rpc/session_test.go
+++ b/internal/rpc/session_test.go
@@ -191,6 +191,36 @@
 	is.Equal(stats.Silent.Load(), int64(1))
 }
 
+// TestSilentIdleSessionEndsOnceUsed freezes the path of a session without
+// requests. A request makes it end as fast as one that was open before; with
+// none it ends after the silence of idle sessions.
+func TestSilentIdleSessionEndsOnceUsed(t *testing.T) {
+	for _, used := range []bool{true, false} {
+		is := is.New(t)
+		opts := Options{Heartbeat: 20 * time.Millisecond, Silence: 200 * time.Millisecond, IdleSilence: time.Hour}
+		if !used {
+			opts.Silence, opts.IdleSilence = time.Hour, 200*time.Millisecond
+			opts.IdleHeartbeat = 20 * time.Millisecond
+		}
+		agentOpts := opts
+		agentOpts.IdleSilence = time.Hour
+		path := newFrozenPath(t, startAgent(t, &fakeAgent{opts: agentOpts}))
+		stats := &Stats{}
+		s := openSession(t, path.address, opts, stats)
+		call, err := s.Open("first", generate(1))
+		is.NoErr(err)
+		_, err = collect(t.Context(), call)
+		is.NoErr(err)
+		path.freeze()
+		if used {
+			_, err = s.Open("second", generate(1))
+			is.NoErr(err)
+		}
+		<-s.Done()
+		is.Equal(stats.Silent.Load(), int64(1))
+	}
+}
+
 func TestSlowCallerLosesOnlyItsOwnStream(t *testing.T) {
 	is := is.New(t)
 	stats := &Stats{}
--- a/internal/settings/timeouts.go
+++ b/internal/settings/timeouts.go
@@ -22,9 +22,9 @@
 	Drain Duration `json:"drain" check:"min=100ms,max=24h"`
 	// DrainNotice is how long /readyz says not-ready before the listener closes.
 	DrainNotice Duration `json:"drain_notice" check:"min=0s,max=10m"`
-	// Heartbeat is the time between heartbeats on an internal connection.
+	// Heartbeat is the time between heartbeats on a session with open requests; others take silent - heartbeat.
 	Heartbeat Duration `json:"heartbeat" check:"min=10ms,max=1m"`
-	// Silent is how long an internal connection may bring nothing.
+	// Silent is how long a session with open requests may bring nothing; others have 2.5 times as long.
 	Silent Duration `json:"silent" check:"min=20ms,max=10m"`
 	// Dial is how long an internal connection may take to open.
 	Dial Duration `json:"dial" check:"min=10ms,max=1m"`
@@ -36,9 +36,9 @@
 
 // AgentTimeouts bounds how long an agent process waits.
 type AgentTimeouts struct {
-	// Heartbeat is the time between heartbeats on a session.
+	// Heartbeat is the time between heartbeats on a session with open requests; others take silent - heartbeat.
 	Heartbeat Duration `json:"heartbeat" check:"min=10ms,max=1m"`
-	// Silent is how long a session may bring nothing.
+	// Silent is how long a session with open requests may bring nothing; others have 2.5 times as long.
 	Silent Duration `json:"silent" check:"min=20ms,max=10m"`
 	// Load is the time between reads of the engine's load.
 	Load Duration `json:"load" check:"min=10ms,max=1m"`
