node, entry: admission by the queue's share, streams and predicted cache hits

Cause: a host divided its subset's capacity by all hosts although an endpoint is shared by a few, admitted any number of streams, and counted cached prompt tokens as work. Change: queue.Share over the endpoints' own reports, a bound on streams from the promised time between tokens, CachedTokens from Router.Predict. Ruled out: dividing by the hosts that see an endpoint alone, which refuses callers that come in a bunch.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
@@ -106,6 +107,7 @@
 		Class:        g.class,
 		Weight:       g.caller.Spec.Weight,
 		PromptTokens: int64(g.promptTokens),
+		CachedTokens: int64(s.opts.Router.Predict(time.Now(), g.routeRequest())),
 		OutputTokens: int64(g.maxTokens),
 	})
 	if err != nil {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -26,6 +26,9 @@
 type Router interface {
 	// Pick chooses an endpoint, or fails with a *verdict.Error that is not-run.
 	Pick(now time.Time, r *route.Request) (*route.Flight, error)
+	// Predict returns the prompt tokens that an endpoint's cache will
+	// probably serve.
+	Predict(now time.Time, r *route.Request) int
 	// Split chooses one endpoint for the prompt and one for the answer where
 	// that pays.
 	Split(now time.Time, r *route.Request) (prefill, decode *route.Flight, ok bool)
--- a/internal/node/capacity.go
+++ b/internal/node/capacity.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/queue"
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
@@ -20,36 +23,61 @@
 // the first token.
 const prefillBacklog = 0.4
 
-// capacities returns what this host may have in progress for each model: its
-// endpoints' capacity divided by the hosts that share them.
-func capacities(view *snapshot.View, states map[string]*wire.AgentState, hosts int) map[string]queue.Capacity {
-	byModel := make(map[string]queue.Capacity)
+// betweenTokens is the time between tokens that callers are promised: an
+// engine's batch must stay small enough for it.
+const betweenTokens = 48 * time.Millisecond
+
+// modelUse is the capacity of a model's endpoints, what all hosts and what
+// this host have in progress there, and how many of the configured endpoints
+// this host sees.
+type modelUse struct {
+	total, used, own queue.Capacity
+	seen             int
+}
+
+// capacities returns what this host may have in progress for each model. An
+// endpoint is shared by those hosts that have it in their subset.
+func capacities(view *snapshot.View, states map[string]*wire.AgentState, own map[string]route.Work, hosts int) map[string]queue.Capacity {
+	byModel := make(map[string]*modelUse)
+	configured := make(map[string]int)
 	for _, e := range view.Endpoints() {
+		pool := view.Pools()[e.Spec.Pool]
+		configured[pool.Model]++
 		state := states[e.Name]
 		if state == nil || !state.Ready || state.Draining {
 			continue
 		}
-		pool := view.Pools()[e.Spec.Pool]
 		for _, model := range state.Models {
-			c := byModel[model]
-			c.PrefillRate += orDefault(pool.PrefillTokens, defaultPrefillTokens)
-			c.DecodeRate += orDefault(pool.DecodeTokens, defaultDecodeTokens)
-			c.Pieces += int64(state.TotalPieces)
-			byModel[model] = c
+			if byModel[model] == nil {
+				byModel[model] = &modelUse{}
+			}
+			byModel[model].add(pool, state, own[e.Name])
 		}
 	}
-	for model, c := range byModel {
-		byModel[model] = share(c, int64(max(1, hosts)))
+	shares := make(map[string]queue.Capacity, len(byModel))
+	for model, use := range byModel {
+		sharing := float64(hosts) * float64(use.seen) / float64(max(use.seen, configured[model]))
+		shares[model] = queue.Share(use.total, use.used, use.own, int(math.Ceil(sharing)))
 	}
-	return byModel
+	return shares
 }
 
-func share(c queue.Capacity, hosts int64) queue.Capacity {
-	c.PrefillRate /= hosts
-	c.DecodeRate /= hosts
-	c.Pieces /= hosts
-	c.PrefillTokens = int64(float64(c.PrefillRate) * prefillBacklog)
-	return c
+// add counts one endpoint.
+func (u *modelUse) add(pool resource.PoolSpec, state *wire.AgentState, own route.Work) {
+	prefill := orDefault(pool.PrefillTokens, defaultPrefillTokens)
+	decode := orDefault(pool.DecodeTokens, defaultDecodeTokens)
+	u.seen++
+	u.total.PrefillRate += prefill
+	u.total.DecodeRate += decode
+	u.total.PrefillTokens += int64(float64(prefill) * prefillBacklog)
+	u.total.Pieces += int64(state.TotalPieces)
+	u.total.Streams += max(1, int64(float64(decode)*betweenTokens.Seconds()))
+	u.used.PrefillTokens += state.WaitingPromptTokens
+	u.used.Pieces += int64(state.TotalPieces - state.FreePieces)
+	u.used.Streams += int64(state.Running + state.Waiting)
+	u.own.PrefillTokens += own.PromptTokens
+	u.own.Pieces += own.Pieces
+	u.own.Streams += int64(own.Requests)
 }
 
 func orDefault(value, fallback int64) int64 {
@@ -79,7 +107,11 @@
 
 func (e *Entry) updateCapacity() {
 	view := e.config.Current()
-	byModel := capacities(view, e.fleet.States(), len(e.directory.live()))
+	own := make(map[string]route.Work)
+	for _, c := range e.router.Candidates() {
+		own[c.Name] = c.Own
+	}
+	byModel := capacities(view, e.fleet.States(), own, len(e.directory.live()))
 	for model := range view.Models() {
 		e.queues.SetCapacity(model, byModel[model])
 	}
