route: learn the time between tokens, keep long prompts together

Change: entries report the pace of their streams to the router, an endpoint near the promised time counts as full, a request that can wait weighs what its prompt costs the streams beside it over its own wait.

--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -173,6 +173,8 @@
 // stream gives the endpoint's tokens to the sink until the answer ends.
 func (g *generation) stream(ctx context.Context, call *rpc.Call, flight *route.Flight) error {
 	wait := g.server.opts.Timeouts.FirstToken
+	pace := pace{flight: flight}
+	prefilled := false
 	for {
 		m, err := nextWithin(ctx, call, wait)
 		if err != nil {
@@ -184,8 +186,12 @@
 		if finished := m.GetFinished(); finished != nil {
 			return g.end(finished)
 		}
-		flight.Prefilled()
-		g.ticket.Prefilled()
+		if !prefilled {
+			prefilled = true
+			flight.Prefilled()
+			g.ticket.Prefilled()
+		}
+		pace.add(len(m.GetTokens().GetTexts()))
 		if err := g.deliver(m.GetTokens()); err != nil {
 			return err
 		}
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -21,10 +21,18 @@
 	Adapters []string
 	// Own is the work that this entry host has at the endpoint now.
 	Own Work
+	// Gap is the time between tokens that this host's streams see there.
+	Gap Gap
 	// Report is the endpoint's last load report.
 	Report Report
 }
 
+// Gap is a smoothed time between tokens, as it was at a moment.
+type Gap struct {
+	Mean time.Duration
+	At   time.Time
+}
+
 // Work is an amount of work at an endpoint.
 type Work struct {
 	// Requests counts requests in flight.
--- a/internal/route/costs.go
+++ b/internal/route/costs.go
@@ -12,6 +12,17 @@
 	StepPerStream time.Duration
 	// StepLimit is the time between tokens that callers are promised.
 	StepLimit time.Duration
+	// GapHalfLife is the age at which the observed time between tokens at an
+	// endpoint counts half.
+	GapHalfLife time.Duration
+	// GapHeadroom is the part of StepLimit at which an endpoint counts as full.
+	GapHeadroom float64
+	// Patience is how many times less the waiting of a request without
+	// priority weighs.
+	Patience time.Duration
+	// Interference is what each prompt token of a request without priority
+	// costs each stream beside it.
+	Interference time.Duration
 	// TransferPerToken is the time to move the KV cache of one token between
 	// two endpoints.
 	TransferPerToken time.Duration
@@ -37,6 +48,10 @@
 		Step:             20 * time.Millisecond,
 		StepPerStream:    time.Millisecond,
 		StepLimit:        48 * time.Millisecond,
+		GapHalfLife:      2 * time.Second,
+		GapHeadroom:      0.9,
+		Patience:         10,
+		Interference:     2 * time.Microsecond,
 		TransferPerToken: 10 * time.Microsecond,
 		TransferFixed:    20 * time.Millisecond,
 		ReportHalfLife:   300 * time.Millisecond,
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -31,8 +31,22 @@
 func (e *estimator) at(c *Candidate, prefix int) estimate {
 	others := e.others(c)
 	first := e.prefill(c, others, prefix) + e.set.Distance(e.req.Domain, c.Domain)
-	score := first + e.decode(c, others) + e.memory(c) + e.role(c)
-	return estimate{first: first, score: score}
+	own := first + e.decode(c, others)
+	if e.req.Priority <= 0 {
+		own = own/e.costs.Patience + e.interference(c, others, prefix)
+	}
+	return estimate{first: first, score: own + e.memory(c) + e.role(c)}
+}
+
+// interference is what the prompt of a request that can wait costs the streams
+// at the endpoint: each of its chunks makes a step longer for all of them. It
+// brings long prompts together, away from those who wait for each token.
+func (e *estimator) interference(c *Candidate, others Work, prefix int) time.Duration {
+	if e.req.Phase == PhaseDecode {
+		return 0
+	}
+	streams := c.Own.Requests + others.Requests
+	return time.Duration(max(0, e.req.PromptTokens-prefix)*streams) * e.costs.Interference
 }
 
 // others is the work of other entry hosts at c: the report, faded by its age
@@ -72,11 +86,22 @@
 	}
 	streams := time.Duration(c.Own.Requests + others.Requests)
 	added := streams * e.costs.StepPerStream
-	late := max(0, e.costs.Step+added-e.costs.StepLimit)
+	limit := time.Duration(float64(e.costs.StepLimit) * e.costs.GapHeadroom)
+	late := max(0, e.costs.Step+added-e.costs.StepLimit, e.gap(c)-limit)
 	tokens := time.Duration(min(e.req.MaxTokens, decodeHorizon))
 	return added + late*tokens
 }
 
+// gap is the time between tokens that streams at c see, as far as it is recent.
+func (e *estimator) gap(c *Candidate) time.Duration {
+	if c.Gap.At.IsZero() {
+		return 0
+	}
+	half := float64(e.costs.GapHalfLife)
+	age := max(0, float64(e.now.Sub(c.Gap.At)))
+	return time.Duration(float64(c.Gap.Mean) * half / (half + age))
+}
+
 // memory charges the share of the needed pieces that are not free.
 func (e *estimator) memory(c *Candidate) time.Duration {
 	if c.Report.TotalPieces == 0 {
--- a/internal/route/flight.go
+++ b/internal/route/flight.go
@@ -1,5 +1,7 @@
 package route
 
+import "time"
+
 // Flight is one request at one endpoint, counted as the entry host's own work
 // there until Done.
 type Flight struct {
@@ -19,6 +21,25 @@
 	f.prefilled()
 }
 
+// gapWeight is the weight of a new observation in the smoothed time between
+// tokens of an endpoint.
+const gapWeight = 0.1
+
+// Observe takes the mean time between some tokens of the flight.
+func (f *Flight) Observe(now time.Time, gap time.Duration) {
+	f.router.mu.Lock()
+	defer f.router.mu.Unlock()
+	g := &f.endpoint.gap
+	if g.At.IsZero() {
+		g.Mean = gap
+	}
+	g.Mean += time.Duration(gapWeight * float64(gap-g.Mean))
+	g.At = now
+	if c := f.router.set.Get(f.Endpoint); c != nil && f.router.known[f.Endpoint] == f.endpoint {
+		c.Gap = *g
+	}
+}
+
 // Done ends the flight. CachedTokens is the part of the prompt that the
 // engine's cache served, or negative when it is not known. Calls after the
 // first have no effect.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -25,6 +25,7 @@
 type endpoint struct {
 	incarnation string
 	own         Work
+	gap         Gap
 }
 
 // NewRouter returns a router without endpoints. It takes over the policy.
@@ -51,7 +52,9 @@
 		e.incarnation = st.GetIncarnation()
 		r.forgetCache(st.GetEndpoint())
 	}
-	r.set.Put(candidateOf(now, st, e.own))
+	c := candidateOf(now, st, e.own)
+	c.Gap = e.gap
+	r.set.Put(c)
 	r.events(now, st)
 }
 
