--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/node"
 	"github.com/acacialink/acacialink/internal/opsclient"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/settings"
@@ -39,21 +40,15 @@
 	if err != nil {
 		return errors.Wrap(err, "resources")
 	}
-	base := settings.DefaultEntry()
-	base.Region = "vltava"
-	base.Timeouts.DrainNotice = 0
+	base := entrySettings()
 	base.Listen.Callers = o.Callers
-	base.Member.HostList = settings.Duration(time.Second)
 	site, err := NewSite(ctx, resources, base, o.Log)
 	if err != nil {
 		return err
 	}
 	var g errgroup.Group
 	g.Go(func() error { return site.Run(ctx) })
-	if err := site.configure(ctx, resources); err != nil {
-		return errors.Wrap(err, "configure")
-	}
-	if err := site.awaitReady(ctx); err != nil {
+	if err := site.begin(ctx, resources); err != nil {
 		return err
 	}
 	printWelcome(o.Out, site)
@@ -65,6 +60,31 @@
 	return g.Wait()
 }
 
+// entrySettings are what the entry hosts of a demo start from.
+func entrySettings() settings.Entry {
+	s := settings.DefaultEntry()
+	s.Region = "sample"
+	s.Timeouts.DrainNotice = 0
+	s.Member.HostList = settings.Duration(time.Second)
+	return s
+}
+
+// begin returns once the site, which Run runs, serves the resources.
+func (s *Site) begin(ctx context.Context, resources []resource.Resource) error {
+	select {
+	case <-s.started:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := s.awaitMembers(ctx); err != nil {
+		return err
+	}
+	if err := s.configure(ctx, resources); err != nil {
+		return errors.Wrap(err, "configure")
+	}
+	return s.awaitReady(ctx)
+}
+
 // configure declares the resources over the operators' API and waits until
 // they are in force.
 func (s *Site) configure(ctx context.Context, resources []resource.Resource) error {
@@ -80,12 +100,25 @@
 // readyInterval is how often the demo looks whether its hosts are ready.
 const readyInterval = 20 * time.Millisecond
 
+// awaitMembers returns once the entry hosts know each other.
+func (s *Site) awaitMembers(ctx context.Context) error {
+	return s.await(ctx, func(e *node.Entry) (bool, string) {
+		n := e.MemberCount()
+		return n == len(s.Entries), fmt.Sprintf("it knows %d entry hosts", n)
+	})
+}
+
 // awaitReady returns once every entry host takes callers.
 func (s *Site) awaitReady(ctx context.Context) error {
+	return s.await(ctx, (*node.Entry).Ready)
+}
+
+// await returns once the condition holds on every entry host.
+func (s *Site) await(ctx context.Context, condition func(*node.Entry) (bool, string)) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for _, e := range s.Entries {
-		for ready, reason := e.Ready(); !ready; ready, reason = e.Ready() {
+		for ok, reason := condition(e); !ok; ok, reason = condition(e) {
 			select {
 			case <-ctx.Done():
 				return errors.Errorf("entry host is not ready: %s", reason)
