--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -118,13 +118,12 @@
 func (e *Entry) buildConfig() {
 	s := e.settings
 	e.config = snapshot.NewHolder(snapshot.HolderOptions{
-		Host:        s.Name,
-		Domain:      s.Domain,
-		Incarnation: e.incarnation,
-		Log:         snapshot.NewLog(e.store, e.log),
-		Peers:       e.directory,
-		Directory:   e.directory.peers,
-		Logger:      e.log,
+		Host:      s.Name,
+		Domain:    s.Domain,
+		Log:       snapshot.NewLog(e.store, e.log),
+		Peers:     e.directory,
+		Directory: e.directory.peers,
+		Logger:    e.log,
 	})
 }
 
--- a/internal/snapshot/exchange.go
+++ b/internal/snapshot/exchange.go
@@ -32,7 +32,7 @@
 func (h *Holder) exchange(ctx context.Context, peer string, part *wire.ConfigPart, timeout time.Duration) (*wire.ConfigPart, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	m := &wire.PeerMessage{From: h.o.Host, Incarnation: h.o.Incarnation, Config: part}
+	m := &wire.PeerMessage{From: h.o.Host, Config: part}
 	answer, err := h.o.Peers.Exchange(ctx, peer, m)
 	if err != nil {
 		return nil, errors.Wrapf(err, "exchange with %s", peer)
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -37,10 +37,8 @@
 	// Host and Domain are this host's own.
 	Host   string
 	Domain string
-	// Incarnation differs for each start of the process.
-	Incarnation string
-	Log         *Log
-	Peers       PeerCaller
+	Log    *Log
+	Peers  PeerCaller
 	// Directory returns the live entry hosts; this host may be among them.
 	Directory func() []Peer
 	Clock     Clock
@@ -70,9 +68,13 @@
 	// with peers. Run alone uses them.
 	upstream string
 	asks     int
-	wake     chan struct{}
-	counts   confirmations
-	flaws    flaws
+	// lastVouched are the voters that vouched in the last round without the
+	// store, and panels counts such rounds. Run alone uses them.
+	lastVouched map[string]bool
+	panels      int
+	wake        chan struct{}
+	counts      confirmations
+	flaws       flaws
 
 	// mu guards the fields below and orders installs.
 	mu      sync.Mutex
--- a/internal/snapshot/majority.go
+++ b/internal/snapshot/majority.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/acacialink/acacialink/internal/resource"
@@ -17,6 +18,10 @@
 	vouched map[string]bool
 }
 
+func newBallot() *ballot {
+	return &ballot{held: map[string]resource.Revision{}, vouched: map[string]bool{}}
+}
+
 func (b *ballot) add(peer string, answer *wire.ConfigPart) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -39,8 +44,7 @@
 }
 
 // ask exchanges with all the hosts in parallel and collects their answers.
-func (h *Holder) ask(ctx context.Context, hosts []string, part *wire.ConfigPart) *ballot {
-	b := &ballot{held: map[string]resource.Revision{}, vouched: map[string]bool{}}
+func (h *Holder) ask(ctx context.Context, b *ballot, hosts []string, part *wire.ConfigPart) {
 	var wg sync.WaitGroup
 	for _, peer := range hosts {
 		if peer == h.o.Host {
@@ -54,7 +58,6 @@
 		})
 	}
 	wg.Wait()
-	return b
 }
 
 // confirmWithMajority confirms the view without the store. Every accepted
@@ -67,7 +70,19 @@
 	}
 	asOf := h.o.Clock.now()
 	part := &wire.ConfigPart{Revision: int64(h.Current().revision), FreshAgeUs: -1, WantAfter: wantNothing}
-	b := h.ask(ctx, voters.All(), part)
+	b := newBallot()
+	first, rest := panel(h.o.Host, voters, h.lastVouched)
+	if len(rest) > 0 {
+		// One more a round, so that none is left unasked for long.
+		h.panels++
+		i := h.panels % len(rest)
+		first, rest = append(slices.Clone(first), rest[i]), slices.Concat(rest[:i], rest[i+1:])
+	}
+	h.ask(ctx, b, first, part)
+	if !voters.Majority(h.vouchers(b)) {
+		h.ask(ctx, b, rest, part)
+	}
+	h.lastVouched = b.vouched
 	peer, highest := b.highest()
 	if highest > h.Current().revision {
 		h.fetch(ctx, peer)
@@ -82,6 +97,21 @@
 	return true
 }
 
+// panel splits the other voters into as many as make a majority with the host
+// itself, and the rest. Those that vouched last come first, and each host
+// begins after itself in name order, so that all are asked equally often.
+func panel(host string, voters VoterList, vouched map[string]bool) (first, rest []string) {
+	all := voters.All()
+	i := slices.Index(all, host)
+	others := slices.Concat(all[i+1:], all[:max(i, 0)])
+	if len(voters.Previous) > 0 {
+		return others, nil
+	}
+	slices.SortStableFunc(others, func(a, b string) int { return boolRank(vouched[a]) - boolRank(vouched[b]) })
+	need := min(len(voters.Hosts)/2, len(others))
+	return others[:need], others[need:]
+}
+
 // vouchers says which hosts' word counts, this one's included.
 func (h *Holder) vouchers(b *ballot) func(string) bool {
 	return func(host string) bool {
--- a/internal/snapshot/push.go
+++ b/internal/snapshot/push.go
@@ -70,7 +70,8 @@
 	held := map[string]bool{h.o.Host: true}
 	for {
 		missing := withoutHeld(voters.All(), held)
-		b := h.ask(ctx, missing, h.pushPart(revision))
+		b := newBallot()
+		h.ask(ctx, b, missing, h.pushPart(revision))
 		for host, r := range b.held {
 			held[host] = held[host] || r >= revision
 		}
--- a/internal/snapshot/roles.go
+++ b/internal/snapshot/roles.go
@@ -25,33 +25,68 @@
 	return slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return p.Leaving })
 }
 
-// dutiesOf decides a host's part from the live hosts and the voters.
+// dutiesOf decides a host's part from the live hosts and the voters. All hosts
+// decide from the same list, so that the questions are spread evenly.
 func dutiesOf(host, domain string, live []Peer, voters VoterList) duties {
-	var local []string
-	alive := map[string]bool{}
+	local, domains, alive := arrange(domain, live)
+	readers := readersOf(domain, local, voters)
+	d := duties{voter: voters.Has(host)}
+	rank := slices.Index(readers, host)
+	d.reader = d.voter || rank >= 0
+	if d.reader {
+		// Confirmations spread from the voters outwards while the store is down.
+		place := slices.Index(domains, domain)*readersPerDomain + rank
+		d.upstreams = upstreamsOf(host, slices.Concat(spread(place, voters.All()), readers), alive)
+		return d
+	}
+	followers := slices.DeleteFunc(local, func(h string) bool { return voters.Has(h) || slices.Contains(readers, h) })
+	place := slices.Index(followers, host)
+	d.upstreams = upstreamsOf(host, slices.Concat(spread(place, readers), rankHosts(host, voters.All())), alive)
+	return d
+}
+
+// arrange returns the domain's hosts that stay, and all domains, both in name
+// order, and the names of all live hosts.
+func arrange(domain string, live []Peer) (local, domains []string, alive map[string]bool) {
+	alive = make(map[string]bool, len(live))
 	for _, p := range live {
 		alive[p.Name] = true
 		if p.Domain == domain && !p.Leaving {
 			local = append(local, p.Name)
 		}
+		if i, found := slices.BinarySearch(domains, p.Domain); !found {
+			domains = slices.Insert(domains, i, p.Domain)
+		}
 	}
-	readers := rankHosts("readers/"+domain, local)
-	readers = readers[:min(len(readers), readersPerDomain)]
-	d := duties{voter: voters.Has(host)}
-	d.reader = d.voter || slices.Contains(readers, host)
-	d.upstreams = upstreamsOf(host, d.reader, readers, voters.All(), alive)
-	return d
+	slices.Sort(local)
+	return local, domains, alive
+}
+
+// readersOf chooses the domain's readers. Voters have work of their own while
+// the store is down, so they are left out where there are enough others.
+func readersOf(domain string, local []string, voters VoterList) []string {
+	others := slices.DeleteFunc(slices.Clone(local), voters.Has)
+	if len(others) < readersPerDomain {
+		others = local
+	}
+	readers := rankHosts("readers/"+domain, others)
+	return readers[:min(len(readers), readersPerDomain)]
 }
 
-// upstreamsOf prefers the domain's readers; a reader prefers voters, so that
-// confirmations spread from the voters outwards while the store is down.
-func upstreamsOf(host string, reader bool, readers, voters []string, alive map[string]bool) []string {
-	near, far := rankHosts(host, readers), rankHosts(host, voters)
-	if reader {
-		near, far = far, near
+// spread turns the list by the host's place among its neighbours, so that each
+// of the list comes first equally often.
+func spread(place int, list []string) []string {
+	if place <= 0 || len(list) == 0 {
+		return list
 	}
+	place %= len(list)
+	return slices.Concat(list[place:], list[:place])
+}
+
+// upstreamsOf returns the live ones of the candidates, each once, in order.
+func upstreamsOf(host string, candidates []string, alive map[string]bool) []string {
 	var list []string
-	for _, name := range slices.Concat(near, far) {
+	for _, name := range candidates {
 		if name != host && alive[name] && !slices.Contains(list, name) {
 			list = append(list, name)
 		}
--- a/internal/snapshot/tracker.go
+++ b/internal/snapshot/tracker.go
@@ -132,7 +132,8 @@
 		hosts = names(live, hosts)
 	}
 	part := &wire.ConfigPart{Revision: int64(v.revision), FreshAgeUs: -1, WantAfter: wantNothing}
-	b := h.ask(ctx, hosts, part)
+	b := newBallot()
+	h.ask(ctx, b, hosts, part)
 	held := map[string]bool{h.o.Host: true}
 	for host, r := range b.held {
 		held[host] = r >= v.revision
