--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -29,7 +29,7 @@
 	var peers []snapshot.Peer
 	for _, m := range d.table.Entries(time.Now()) {
 		if m.State != member.Gone {
-			peers = append(peers, snapshot.Peer{Name: m.Name, Domain: m.Domain})
+			peers = append(peers, snapshot.Peer{Name: m.Name, Domain: m.Domain, Leaving: m.State == member.Leaving || m.Listed == member.Leaving})
 		}
 	}
 	return peers
