fault: control work, leaving endpoints, four sites at a time

Runs had no engine orders, provider orders or usage reports. Sites now decide within seconds, the provider starts engines with agents on demand, and tests load adapters under load, wait out a leaving endpoint and record every accepted change. Waiting for the revision keeps startup out of the figures.

--- a/internal/audit/request.go
+++ b/internal/audit/request.go
@@ -30,6 +30,8 @@
 	// Status is zero if no answer came.
 	Status  int    `json:"status"`
 	Verdict string `json:"verdict,omitempty"`
+	// Code is the machine-readable name of a refusal.
+	Code string `json:"code,omitempty"`
 	// Complete is true if the answer arrived whole, with its end marker.
 	Complete bool `json:"complete,omitempty"`
 	// Text is the text of a completion.
--- a/test/fault/caller_test.go
+++ b/test/fault/caller_test.go
@@ -188,10 +188,21 @@
 	r.Text = text.String()
 }
 
+func refusalCode(body []byte) string {
+	var refusal struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(body, &refusal)
+	return refusal.Error.Code
+}
+
 func readWhole(body io.Reader, r *audit.Request) {
 	data, err := io.ReadAll(body)
 	r.Complete = err == nil
 	if r.Status != http.StatusOK || err != nil {
+		r.Code = refusalCode(data)
 		return
 	}
 	if r.Generation {
--- a/test/fault/configuration_test.go
+++ b/test/fault/configuration_test.go
@@ -8,7 +8,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/audit"
@@ -34,7 +33,7 @@
 	for _, d := range domains {
 		s.add("domain", d, map[string]any{"region": "test"})
 	}
-	s.add("model", model, map[string]any{"version": "1", "max_prompt_tokens": 16_000, "max_output_tokens": 2_000})
+	s.add("model", model, modelSpec())
 	if p.rates == nil {
 		p.rates = map[string][2]int64{"residents": {100_000, 1_000_000}, "schools": {100_000, 1_000_000}}
 	}
@@ -52,11 +51,45 @@
 	})
 	s.add("route", "status", map[string]any{"prefix": "/status", "service": "orders", "methods": []string{"GET"}})
 	s.add("pool", "engines", map[string]any{
-		"model": model, "domains": domains, "min": 1, "max": 4,
+		"model": model, "domains": domains, "min": max(1, p.least), "max": 4,
 		"prefill_tokens": 12_000, "decode_tokens": 2_000, "start_seconds": 30,
 	})
 }
 
+func modelSpec(adapters ...string) map[string]any {
+	list := []map[string]string{}
+	for _, a := range adapters {
+		list = append(list, map[string]string{"name": a, "version": "1"})
+	}
+	return map[string]any{
+		"version": "1", "adapters": list, "max_prompt_tokens": 16_000, "max_output_tokens": 2_000,
+	}
+}
+
+// setAdapters declares the model's adapters, which engines must then load. It
+// tries until the change is accepted.
+func (s *site) setAdapters(adapters ...string) {
+	s.t.Helper()
+	spec, err := json.Marshal(modelSpec(adapters...))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	list := []resource.Resource{{Kind: resource.KindModel, Name: model, Spec: spec}}
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		var out bytes.Buffer
+		err := opsclient.ApplyResources(s.t.Context(), s.operator(), list, &out)
+		if err == nil {
+			s.accepted(out.Bytes())
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("set adapters: %v", err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 func (s *site) addKey(k keySpec) {
 	sum := sha256.Sum256([]byte(k.secret))
 	s.add("key", k.name, map[string]any{"workspace": k.workspace, "sha256": hex.EncodeToString(sum[:])})
@@ -77,16 +110,35 @@
 	o.Wait = settleTimeout
 	deadline := time.Now().Add(settleTimeout)
 	for {
-		err := opsclient.ApplyResources(s.t.Context(), o, s.resources, io.Discard)
+		var out bytes.Buffer
+		err := opsclient.ApplyResources(s.t.Context(), o, s.resources, &out)
 		if err == nil {
-			break
+			change := s.accepted(out.Bytes())
+			s.waitServing(change.Revision)
+			return
 		}
 		if time.Now().After(deadline) {
 			s.t.Fatalf("configure: %v", err)
 		}
 		time.Sleep(pollInterval)
 	}
-	s.waitServing()
+}
+
+// accepted notes a change whose answer says that it was accepted.
+func (s *site) accepted(answer []byte) audit.ConfigChange {
+	s.t.Helper()
+	var a struct {
+		Revision int64 `json:"revision"`
+		Accepted bool  `json:"accepted"`
+	}
+	if err := json.Unmarshal(answer, &a); err != nil {
+		s.t.Fatalf("answer to a change: %v", err)
+	}
+	change := audit.ConfigChange{Revision: a.Revision, AcceptedAt: time.Now()}
+	if a.Accepted {
+		s.changes = append(s.changes, change)
+	}
+	return change
 }
 
 // operator returns the operators' client of the site.
@@ -102,13 +154,7 @@
 	if err != nil {
 		s.t.Fatalf("revoke %s: %v", key, err)
 	}
-	var answer struct {
-		Revision int64 `json:"revision"`
-	}
-	if err := json.Unmarshal(out.Bytes(), &answer); err != nil {
-		s.t.Fatalf("revoke %s: %v", key, err)
-	}
-	return audit.ConfigChange{Revision: answer.Revision, AcceptedAt: time.Now()}
+	return s.accepted(out.Bytes())
 }
 
 // configState is the part of an entry's state dump about its configuration.
--- a/test/fault/judge_test.go
+++ b/test/fault/judge_test.go
@@ -10,14 +10,14 @@
 	"github.com/acacialink/acacialink/internal/audit"
 )
 
-// waitServing waits until every entry host says that it is ready and serves
-// with a confirmed configuration.
-func (s *site) waitServing() {
+// waitServing waits until every entry host serves with a confirmed
+// configuration of at least the revision.
+func (s *site) waitServing(revision int64) {
 	s.t.Helper()
 	deadline := time.Now().Add(settleTimeout)
 	for _, h := range s.entries {
 		for {
-			if _, fresh := h.seen(s.t.Context()); fresh {
+			if seen, fresh := h.seen(s.t.Context()); fresh && seen.Revision >= revision {
 				break
 			}
 			if time.Now().After(deadline) {
@@ -31,9 +31,11 @@
 // record collects what stand-ins and callers recorded. It ends the load.
 func (s *site) record(l *load) *audit.Record {
 	l.end()
+	s.t.Log(l.outcomes())
 	r := &audit.Record{
 		Requests:   l.requests,
 		Seen:       l.seen,
+		Changes:    s.changes,
 		OnceRoutes: []string{"/orders"},
 		Provider:   s.standins.Provider.Standin.Record(),
 		Usage:      s.standins.UsageSink.Standin.Record(),
@@ -42,6 +44,11 @@
 	for _, e := range s.standins.Engines {
 		r.Engines = append(r.Engines, e.Standin.Record())
 	}
+	s.mu.Lock()
+	for _, e := range s.ordered {
+		r.Engines = append(r.Engines, e.Record())
+	}
+	s.mu.Unlock()
 	for _, v := range s.standins.Services {
 		r.Services = append(r.Services, v.Standin.Record())
 	}
@@ -56,6 +63,7 @@
 // each promise named that the run said nothing about.
 func judge(t *testing.T, r *audit.Record, examined ...audit.Promise) {
 	t.Helper()
+	defer logOrders(t, r)
 	must := make(map[audit.Promise]bool)
 	for _, p := range examined {
 		must[p] = true
@@ -71,6 +79,20 @@
 	}
 }
 
+// logOrders shows a failed test's orders to engines.
+func logOrders(t *testing.T, r *audit.Record) {
+	if !t.Failed() {
+		return
+	}
+	for _, e := range r.Engines {
+		for _, o := range e.Orders {
+			t.Logf("%s: %s to %s: %s %s %s%s, fence %d (highest before %d), id %s, overlaps %t, repeat %t, result %s",
+				o.Start.Format(time.StampMilli), o.Issuer, e.Name, o.Kind, o.Role, o.Model, o.Adapter,
+				o.Fence, o.HighestFence, o.ID, o.Overlaps, o.Repeat, o.Result)
+		}
+	}
+}
+
 // during runs do and returns the time that it took as a window.
 func during(do func()) audit.Window {
 	w := audit.Window{Start: time.Now()}
--- a/test/fault/load_test.go
+++ b/test/fault/load_test.go
@@ -135,7 +135,7 @@
 	defer l.mu.Unlock()
 	counts := make(map[string]int)
 	for _, r := range l.requests {
-		counts[fmt.Sprintf("status %d %s complete %t", r.Status, r.Verdict, r.Complete)]++
+		counts[fmt.Sprintf("status %d %s %s complete %t", r.Status, r.Code, r.Verdict, r.Complete)]++
 	}
 	rotation := make(map[string]string)
 	for h, reason := range l.rotation {
--- a/test/fault/quick_test.go
+++ b/test/fault/quick_test.go
@@ -90,7 +90,6 @@
 	s.entries[2].store.heal()
 	s.entries[2].inbound.heal()
 	r := s.record(l)
-	r.Changes = []audit.ConfigChange{change}
 	for i := range r.Keys {
 		if r.Keys[i].Name == key.name {
 			r.Keys[i].RevokedAt = change.AcceptedAt
--- a/test/fault/site_test.go
+++ b/test/fault/site_test.go
@@ -11,7 +11,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/acacialink/acacialink/internal/audit"
 	"github.com/acacialink/acacialink/internal/certs"
@@ -19,14 +21,20 @@
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/standin"
 	"github.com/acacialink/acacialink/internal/standin/engine"
+	"github.com/acacialink/acacialink/internal/standin/provider"
 	"github.com/acacialink/acacialink/internal/standin/service"
 )
 
 const operatorToken = "test-operator"
 
+// endpointStart is how long an ordered endpoint takes to start.
+const endpointStart = 2 * time.Second
+
 // plan says what a site consists of.
 type plan struct {
 	entries, engines, services int
+	// least is the pool's least number of engines in each domain.
+	least int
 	// rates are the workspaces' rates and bursts in tokens by name.
 	rates map[string][2]int64
 }
@@ -57,19 +65,34 @@
 	agents    []*host
 	resources []resource.Resource
 	keys      []keySpec
+	// changes are the changes of the configuration that were accepted.
+	changes []audit.ConfigChange
+	// mu guards what the provider changes: ordered are its engines.
+	mu      sync.Mutex
+	ordered []*engine.Engine
+	// over is set when the test ends; no endpoint starts from then on.
+	over bool
 	// workspaces are the declared ones with their rates.
 	workspaces []audit.Workspace
 }
 
-// newSite starts the site and waits until its configuration is in force.
+// sites bounds how many sites run at a time.
+var sites = make(chan struct{}, 4)
+
+// newSite starts the site and waits until its configuration is in force. The
+// test runs beside others from then on.
 func newSite(t *testing.T, p plan) *site {
 	t.Helper()
+	t.Parallel()
+	sites <- struct{}{}
+	t.Cleanup(func() { <-sites })
 	s := &site{t: t, dir: t.TempDir()}
 	var err error
 	if s.authority, err = certs.NewAuthority(); err != nil {
 		t.Fatal(err)
 	}
-	if s.standins, err = standin.Start(standin.Options{}); err != nil {
+	platformOptions := standin.Options{Provider: provider.Options{StartTime: endpointStart, Start: s.provide}}
+	if s.standins, err = standin.Start(platformOptions); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.standins.Close)
@@ -83,10 +106,17 @@
 	for i := range p.entries {
 		s.addEntry(i)
 	}
+	t.Cleanup(s.close)
 	s.configure()
 	return s
 }
 
+func (s *site) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+}
+
 func (s *site) addEntry(i int) {
 	s.t.Helper()
 	h := &host{domain: domainOf(i), callers: freeAddress(s.t), operators: freeAddress(s.t)}
@@ -98,10 +128,14 @@
 		Name: name, Domain: h.domain, State: platform.HostLive, Address: h.inbound.address(),
 	})
 	h.process = s.process("entry", name, map[string]any{
-		"region":    "test",
-		"domain":    h.domain,
-		"listen":    map[string]string{"callers": h.callers, "operators": h.operators, "peers": peers},
-		"member":    map[string]any{"host_list": "500ms"},
+		"region": "test",
+		"domain": h.domain,
+		"listen": map[string]string{"callers": h.callers, "operators": h.operators, "peers": peers},
+		"member": map[string]any{"host_list": "500ms"},
+		// Control work comes in seconds, so that a short run sees it.
+		"usage":     map[string]any{"window": "2s", "flush": "500ms", "settle": "1s"},
+		"role":      map[string]any{"interval": "1s", "hold": "5s"},
+		"pool":      map[string]any{"interval": "1s"},
 		"operators": operators(),
 		"platform": map[string]string{
 			"store":      "http://" + h.store.address() + "/clients/" + name,
@@ -142,6 +176,15 @@
 
 // addAgent starts the agent beside an endpoint and declares the endpoint.
 func (s *site) addAgent(name, domain, endpoint string, spec map[string]any) {
+	s.t.Helper()
+	h := s.startAgent(name, domain, endpoint, spec)
+	s.agents = append(s.agents, h)
+	spec["domain"] = domain
+	spec["agent"] = h.inbound.address()
+	s.add("endpoint", name, spec)
+}
+
+func (s *site) startAgent(name, domain, endpoint string, spec map[string]any) *host {
 	s.t.Helper()
 	listen := freeAddress(s.t)
 	h := &host{domain: domain, operators: freeAddress(s.t)}
@@ -158,10 +201,26 @@
 			"type": spec["type"], "url": "http://" + h.endpoint.address(), "checks_fencing": spec["checks_fencing"],
 		},
 	})
-	s.agents = append(s.agents, h)
-	spec["domain"] = domain
-	spec["agent"] = h.inbound.address()
-	s.add("endpoint", name, spec)
+	return h
+}
+
+// provide starts an endpoint that the provider was asked for.
+func (s *site) provide(o platform.EndpointOrder) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return ""
+	}
+	e := engine.New(engine.Options{Name: o.ID, Models: []string{model}, ChecksFencing: true})
+	server, err := standin.Listen("127.0.0.1:0", e.Handler())
+	if err != nil {
+		s.t.Errorf("start ordered engine: %v", err)
+		return ""
+	}
+	s.t.Cleanup(func() { _ = server.Close() })
+	s.ordered = append(s.ordered, e)
+	spec := map[string]any{"type": "engine", "checks_fencing": true}
+	return s.startAgent(o.ID, o.Domain, server.Address(), spec).inbound.address()
 }
 
 // process writes the settings and certificate of a process and starts it.
