--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -22,12 +22,14 @@
 	sink     platform.UsageSink
 	stats    *Stats
 
-	// mu guards pending and durable; the other fields belong to step.
+	// mu guards pending, durable and durableFence; the other fields belong to step.
 	mu      sync.Mutex
 	pending map[string]*wire.UsageBatch
 	// durable is the last batch of each source that the store holds; nil
 	// while this host does not keep the shard.
 	durable map[string]applied
+	// durableFence is the fencing number of the record that holds them.
+	durableFence int64
 
 	flaws  flaws
 	fence  int64
@@ -59,6 +61,7 @@
 		return ack
 	}
 	ack.Known = true
+	ack.Fence = k.durableFence
 	ack.Sequence = k.durable[b.Source].Sequence
 	if (b.Sequence > ack.Sequence || k.flaws.countsRepeats) && len(k.pending) < maxPending {
 		k.pending[b.Source] = b
@@ -104,6 +107,7 @@
 		return err
 	}
 	if k.record.Value().Fence > fence {
+		k.record.Forget() // or the next step would use it
 		return errLostShard
 	}
 	k.fence = fence
@@ -121,7 +125,7 @@
 	}
 	k.stats.Writes.Add(1)
 	k.mu.Lock()
-	k.durable = next.Applied
+	k.durable, k.durableFence = next.Applied, next.Fence
 	k.mu.Unlock()
 	return nil
 }
@@ -136,20 +140,35 @@
 		return nil
 	}
 	next := k.record.Value().clone()
+	next.age(now)
 	current := k.current(now)
+	size := next.bytes()
 	for source, b := range batches {
-		if b.Sequence <= next.Applied[source].Sequence && !k.flaws.countsRepeats {
-			continue
+		if b.Sequence != next.Applied[source].Sequence+1 && !k.flaws.countsRepeats {
+			continue // counted already, or its source is forgotten
+		}
+		if size += batchBytes(b); size > maxRecordBytes {
+			k.stats.Full.Add(1)
+			break // its host repeats it; sealing makes room
 		}
 		for _, e := range b.Entries {
 			key, f := lineOf(e)
 			next.add(key, f, current)
 		}
-		next.Applied[source] = applied{Sequence: b.Sequence, Window: current}
+		next.Applied[source] = applied{Sequence: b.Sequence, Kept: next.Kept}
 	}
 	return k.swap(ctx, next)
 }
 
+// batchBytes estimates what a batch adds to the record.
+func batchBytes(b *wire.UsageBatch) int {
+	n := 0
+	for _, e := range b.Entries {
+		n += lineBytes + len(e.Workspace) + len(e.Model)
+	}
+	return n
+}
+
 // current is the window of now, and never one that is sealed.
 func (k *keeper) current(now time.Time) Window {
 	step := Window(k.settings.Window / time.Second)
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
 )
 
 // shardRecord is what the store holds of one shard.
@@ -19,13 +22,17 @@
 	// Watermark is the latest window that was sealed or skipped; figures of
 	// it and of earlier ones are corrections.
 	Watermark Window `json:"watermark"`
+	// Kept is for how long keepers have kept the shard, in seconds; hours
+	// without the store do not count. Written is when, in Unix seconds.
+	Kept    int64 `json:"kept"`
+	Written int64 `json:"written"`
 }
 
 // applied is the last batch of a source.
 type applied struct {
 	Sequence int64 `json:"sequence"`
-	// Window is the window in which the batch came, for forgetting sources.
-	Window Window `json:"window"`
+	// Kept is the record's Kept when the batch came, for forgetting sources.
+	Kept int64 `json:"kept"`
 }
 
 // sealed names the pages of a sealed window, by the hashes of their bytes.
@@ -74,7 +81,39 @@
 	r.Open[target][k] = r.Open[target][k].Plus(f)
 }
 
-// forgetSources drops sources that sent nothing for long.
-func (r *shardRecord) forgetSources(before Window) {
-	maps.DeleteFunc(r.Applied, func(_ string, a applied) bool { return a.Window < before })
+// maxKeptStep bounds what one write adds to Kept.
+const maxKeptStep = time.Minute
+
+// age moves Kept on to now.
+func (r *shardRecord) age(now time.Time) {
+	passed := now.Unix() - r.Written
+	if r.Written > 0 && passed > 0 {
+		r.Kept += min(passed, int64(maxKeptStep/time.Second))
+	}
+	r.Written = now.Unix()
+}
+
+// forgetSources drops sources that sent nothing for as long as keepers have
+// kept the shard for sourceMemory.
+func (r *shardRecord) forgetSources() {
+	before := r.Kept - int64(sourceMemory/time.Second)
+	maps.DeleteFunc(r.Applied, func(_ string, a applied) bool { return a.Kept < before })
+}
+
+const (
+	// lineBytes is the encoded size of a line besides its names, at most.
+	lineBytes = 170
+	// maxRecordBytes leaves room for sources and sealed windows in a value.
+	maxRecordBytes = platform.MaxValueBytes - 128<<10
+)
+
+// bytes estimates the encoded size of the open windows.
+func (r *shardRecord) bytes() int {
+	n := 0
+	for _, l := range r.Open {
+		for key := range l {
+			n += lineBytes + len(key.Workspace) + len(key.Model)
+		}
+	}
+	return n
 }
--- a/internal/usage/seal.go
+++ b/internal/usage/seal.go
@@ -10,8 +10,8 @@
 	"github.com/acacialink/acacialink/internal/platform"
 )
 
-// sourceMemory is how long a silent source is remembered: longer than a host
-// repeats a batch.
+// sourceMemory is how long a silent source is remembered, counted while the
+// shard is kept.
 const sourceMemory = 6 * time.Hour
 
 // seal fixes the pages of each window that is due. The pages are in the store
@@ -34,7 +34,8 @@
 		delete(next.Open, w)
 		next.Sealed = append(next.Sealed, sealed{Window: w, Pages: hashes})
 		next.Watermark = max(next.Watermark, w)
-		next.forgetSources(w - Window(sourceMemory/time.Second))
+		next.age(now)
+		next.forgetSources()
 		if err := k.swap(ctx, next); err != nil {
 			return err
 		}
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -25,6 +25,10 @@
 // outgoing is what a host holds for one shard.
 type outgoing struct {
 	sequence int64
+	// acknowledged is the last batch that the keeper had in the store.
+	acknowledged int64
+	// fence is the highest fencing number of a keeper that answered.
+	fence int64
 	// unacknowledged is on its way until the keeper has it in the store.
 	unacknowledged *wire.UsageBatch
 	begun          time.Time
@@ -99,16 +103,15 @@
 	}
 }
 
-// repeatLimit is how long a batch is repeated. A keeper remembers for longer
-// what it has counted, so that a repeat never counts twice; a batch that is
-// given up may be lost, and is counted as dropped.
+// repeatLimit is how long the first batch of a source is repeated: less than
+// keepers remember a source. Later ones are repeated without a limit, for a
+// keeper that has forgotten the source shows so.
 const repeatLimit = 5 * time.Hour
 
 // send sends the batch on its way, or the next one.
 func (s *Sender) send(ctx context.Context, shard int, o *outgoing) {
-	if o.unacknowledged != nil && time.Since(o.begun) > repeatLimit {
-		s.recorder.dropped.Add(int64(len(o.unacknowledged.Entries)))
-		o.unacknowledged = nil
+	if o.unacknowledged != nil && o.sequence == 1 && time.Since(o.begun) > repeatLimit {
+		s.giveUp(o)
 	}
 	if o.unacknowledged == nil {
 		o.begin(shard, s.source)
@@ -123,13 +126,36 @@
 	part := &wire.UsagePart{Batches: []*wire.UsageBatch{o.unacknowledged}}
 	answer := s.exchange(ctx, owner, part)
 	for _, ack := range answer.GetAcks() {
-		if ack.Known && int(ack.Shard) == shard && ack.Sequence >= o.unacknowledged.Sequence {
-			o.unacknowledged = nil
+		if ack.Known && int(ack.Shard) == shard {
+			s.acknowledge(o, ack)
 			return
 		}
 	}
 }
 
+// acknowledge notes the last batch that the keeper has in the store. A keeper
+// that knows less than an earlier one did has forgotten the source; one that
+// was replaced since proves nothing.
+func (s *Sender) acknowledge(o *outgoing, ack *wire.UsageAck) {
+	replaced := ack.Fence < o.fence
+	o.fence = max(o.fence, ack.Fence)
+	switch {
+	case ack.Sequence >= o.sequence:
+		o.acknowledged = o.sequence
+		o.unacknowledged = nil
+	case ack.Sequence < o.acknowledged && !replaced:
+		s.giveUp(o)
+	}
+}
+
+// giveUp drops a batch that may or may not have been counted, and counts that.
+// The source begins anew.
+func (s *Sender) giveUp(o *outgoing) {
+	s.recorder.dropped.Add(int64(len(o.unacknowledged.Entries)))
+	o.unacknowledged = nil
+	o.sequence, o.acknowledged = 0, 0
+}
+
 func (s *Sender) exchange(ctx context.Context, owner string, part *wire.UsagePart) *wire.UsagePart {
 	if owner == s.host {
 		return s.keepers.HandleUsage(part)
