order: a late answer to a repeat settles nothing

Cause: a successor that repeated an order of unknown outcome took the answer late for a refusal and recorded that the engine had not done it, although the first delivery may have been done. Change: only the first delivery of an order may end as refused for lateness; a repeat stays intended and is sent again. Ruled out: asking the engine what it has done, which engines do not offer. Conclusion: the record says refused only when the engine has not done it, as far as engines answer the truth.

--- a/internal/order/giver.go
+++ b/internal/order/giver.go
@@ -72,7 +72,7 @@
 	if err := r.Swap(ctx, next); err != nil {
 		return lost(err)
 	}
-	return g.send(ctx, t, r)
+	return g.send(ctx, t, r, false)
 }
 
 // settle finishes an order whose outcome is unknown: the same order is sent
@@ -90,27 +90,29 @@
 			return lost(err)
 		}
 	}
-	err := g.send(ctx, t, r)
+	err := g.send(ctx, t, r, true)
 	if errors.Is(err, ErrRefused) {
 		return nil
 	}
 	return err
 }
 
-// send sends the recorded order and records its outcome.
-func (g *Giver) send(ctx context.Context, t Target, r *record.Record[Intent]) error {
+// send sends the recorded order and records its outcome. A late answer to a
+// repeat says nothing about the first delivery.
+func (g *Giver) send(ctx context.Context, t Target, r *record.Record[Intent], repeat bool) error {
 	intent := r.Value()
 	answer, err := g.sender.Order(ctx, t.Endpoint, t.Agent, request(ctx, intent))
 	if err != nil {
 		return errors.Wrap(ErrUnsettled, err.Error())
 	}
-	switch answer.Result {
-	case resultDone:
+	late := answer.Result == resultLate
+	switch {
+	case answer.Result == resultDone:
 		intent.State = StateDone
-	case resultRefused, resultLate:
+	case answer.Result == resultRefused, late && !repeat:
 		intent.State = StateRefused
 		intent.Message = answer.Message
-	case resultFenced:
+	case answer.Result == resultFenced:
 		return ErrLost
 	default:
 		return errors.Wrap(ErrUnsettled, answer.Result+": "+answer.Message)
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -41,6 +41,8 @@
 	// hold keeps the next message back; lose drops the next answer.
 	hold, lose bool
 	held       []*wire.OrderRequest
+	// late makes the gate answer the next message as late.
+	late bool
 }
 
 func newSite() *site {
@@ -57,6 +59,10 @@
 		s.held = append(s.held, m)
 		return nil, errors.New("no answer in time")
 	}
+	if s.late {
+		s.late = false
+		return s.gate.answer(resultLate, "late"), nil
+	}
 	answer := s.gate.Order(ctx, m)
 	if s.lose {
 		s.lose = false
