once: replace a page lease that the store has dropped

Cause: a sealed page hangs on a store lease that is kept for an hour; if the store drops it early, each seal failed and claims of the shard were refused until the hour was over. Change: the lease is forgotten when the store says that it has ended, and the next seal grants another. Ruled out: pages without a lease, which would need deletes for pages of dead writers. Figures: TestClaimsGoOnAfterThePageLeaseWasLost red without the change, green with it; go test -race ./internal/once passes. Conclusion: pages that went with the lease stay lost: fresh hosts refuse the shard's claims until those pages expire.

--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -127,6 +127,9 @@
 	if err == nil || errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
+	if errors.Is(err, platform.ErrLeaseExpired) {
+		s.lease.forget(lease)
+	}
 	return errors.Wrap(platform.ErrUnavailable, err.Error())
 }
 
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -169,6 +169,22 @@
 	})
 }
 
+// A page lease that the store has dropped is replaced at once.
+func TestClaimsGoOnAfterThePageLeaseWasLost(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		c := b.host("one", Options{Shards: 1, SealBytes: 4 << 10})
+		for n := range 60 {
+			if n == 30 {
+				b.NoErr(b.store.Revoke(b.ctx, 1))
+			}
+			_, _, err := c.Run(b.ctx, named(fmt.Sprint(n)), BodyHash{}, b.send)
+			b.NoErr(err)
+		}
+		b.Equal(b.runs, 60)
+		c.Close(b.ctx)
+	})
+}
+
 // runsOfARace returns how often a request runs that two hosts get at once while
 // every answer to a write is lost.
 func runsOfARace(t *testing.T, broken brokenVariant) (runs int) {
--- a/internal/once/pagelease.go
+++ b/internal/once/pagelease.go
@@ -45,3 +45,12 @@
 	p.id, p.since = lease.ID, now
 	return p.id, nil
 }
+
+// forget makes the next page ask for another lease than id.
+func (p *pageLease) forget(id platform.LeaseID) {
+	p.turn <- struct{}{}
+	defer func() { <-p.turn }()
+	if p.id == id {
+		p.id = 0
+	}
+}
