agent: tests of drain, readiness and verdicts

Cause: the package had no test of its own. Change: a silent engine is not ready, a drain refuses new work and waits for running work, gives up with its context, endpoint errors keep their verdict, an event is sent once. Ruled out: real processes for these; test/fault has them.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+	"github.com/acacialink/acacialink/internal/verdict"
+)
+
+// loadEngine answers load reports, or fails to.
+type loadEngine struct {
+	platform.Engine
+	down atomic.Bool
+}
+
+func (e *loadEngine) Load(context.Context) (platform.EngineLoad, error) {
+	if e.down.Load() {
+		return platform.EngineLoad{}, platform.ErrUnavailable
+	}
+	return platform.EngineLoad{Ready: true, Models: []string{"m"}}, nil
+}
+
+func (e *loadEngine) CacheEvents(_ context.Context, after uint64) ([]platform.CacheEvent, error) {
+	return []platform.CacheEvent{{Sequence: after + 1, Prefix: 1}}, nil
+}
+
+func TestSilentEngineIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := &loadEngine{}
+		a := New(Options{Endpoint: "e", Engine: engine})
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		time.Sleep(DefaultLoadInterval)
+		is.True(a.State(0).Ready)
+		engine.down.Store(true)
+		time.Sleep(DefaultStaleLoad + DefaultLoadInterval)
+		is.True(!a.State(0).Ready)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestStateRepeatsNoCacheEvent(t *testing.T) {
+	is := is.New(t)
+	a := New(Options{Endpoint: "e", Engine: &loadEngine{}, CacheEvents: 4})
+	for range 6 {
+		a.poll(t.Context())
+	}
+	all := a.State(0).CacheEvents
+	is.Equal(len(all), 4)
+	is.Equal(len(a.State(all[2].Sequence).CacheEvents), 1)
+	is.Equal(len(a.State(noEvents).CacheEvents), 0)
+}
+
+func TestDrainWaitsForRunningWorkAndRefusesNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := New(Options{Endpoint: "e", MaxInFlight: 2})
+		is.Equal(a.begin(), "")
+		is.Equal(a.begin(), "")
+		is.Equal(a.begin(), "agent_full")
+		a.end()
+		changed := a.Changed()
+		left := make(chan int, 1)
+		go func() { left <- a.Drain(t.Context()) }()
+		<-changed
+		is.True(a.State(0).Draining)
+		is.Equal(a.begin(), "draining")
+		time.Sleep(time.Minute)
+		is.Equal(len(left), 0) // A request still runs.
+		a.end()
+		is.Equal(<-left, 0)
+	})
+}
+
+func TestDrainGivesUpWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := New(Options{Endpoint: "e"})
+		is.Equal(a.begin(), "")
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		is.Equal(a.Drain(ctx), 1)
+	})
+}
+
+func TestEndpointErrorsKeepTheirVerdict(t *testing.T) {
+	is := is.New(t)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrUnavailable, "dial"))), verdict.NotRun)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrRejected, "full"))), verdict.NotRun)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrUnknown, "cut"))), verdict.MayHaveRun)
+	is.Equal(verdict.Of(endpointError(errors.New("anything else"))), verdict.MayHaveRun)
+}
+
+func TestOrderToAServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := New(Options{Endpoint: "e"})
+	answer, err := a.Order(t.Context(), &wire.OrderRequest{Id: "1"})
+	is.NoErr(err)
+	is.Equal(answer.Result, "failed")
+}
