tests: simulations run side by side; long tests have one command

Change: their tests and cases are parallel, with the same seeds, runs and checks; the tag integration is now long, run by scripts/test-long. Ruled out: fewer seeds or shorter runs, which would prove less.

--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -155,12 +155,14 @@
 }
 
 func TestNoExcessThroughFaults(t *testing.T) {
+	t.Parallel()
 	for _, s := range scenarios() {
 		s.hosts = 8
 		if s.greedy == nil {
 			s.greedy, s.steady = upTo(8), upTo(8)
 		}
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				is := is.New(t)
 				o := s.run(t, seed)
@@ -177,6 +179,7 @@
 // TestAuditCatchesBrokenLimiters breaks the rules that the limit rests on,
 // one at a time.
 func TestAuditCatchesBrokenLimiters(t *testing.T) {
+	t.Parallel()
 	broken := []struct {
 		name   string
 		waves  bool
@@ -211,6 +214,7 @@
 	}
 	for _, b := range broken {
 		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			s := scenario{hosts: 8, greedy: upTo(8), steady: upTo(8), waves: b.waves}
 			s.script = func(ctx context.Context, f *fleet) {
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -171,6 +171,7 @@
 // TestNoExcessInAnyOrderOfMessages drops, repeats and reorders messages, moves
 // the owner and lets time pass, all at random.
 func TestNoExcessInAnyOrderOfMessages(t *testing.T) {
+	t.Parallel()
 	consumed := 0
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench()
--- a/internal/quota/within_test.go
+++ b/internal/quota/within_test.go
@@ -12,6 +12,7 @@
 // TestRefusalsWithinTheRate compares the refusals of a workspace near its rate
 // with those of one exact bucket that knows each answer's length beforehand.
 func TestRefusalsWithinTheRate(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		hosts  int
@@ -29,6 +30,7 @@
 		{"0.95 of the rate from 16 hosts", 16, upTo(16), 1900, 0.04},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			const d = 5 * time.Minute
 			l := load{workspace: "steady", tokens: c.tokens, hosts: c.from, seed: 11}
@@ -57,6 +59,7 @@
 // TestStoreOutageLeavesTheBasePart checks that every workspace goes on within
 // the base part of its rate long after the lease of the surplus has ended.
 func TestStoreOutageLeavesTheBasePart(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := scenario{hosts: 8, greedy: upTo(8), steady: upTo(8)}
 	var from time.Time
--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -68,6 +68,7 @@
 }
 
 func TestStoreDownForAll(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.store.SetDown(true)
 		f.expectFresh(is, f.freshness(3*time.Minute), 1, 0, 1, 2, 3, 4)
@@ -81,6 +82,7 @@
 }
 
 func TestStoreSilentForAll(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.store.SetSilent(true)
 		f.expectFresh(is, f.freshness(3*time.Minute), 1, 0, 1, 2, 3, 4)
@@ -90,6 +92,7 @@
 }
 
 func TestOneHostWithoutStore(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.store.Client(f.hosts[2].name).SetSilent(true)
 		o, err := f.change(f.hosts[0], addWorkspace("w", 0))
@@ -111,6 +114,7 @@
 }
 
 func TestOneHostCutOffRefusesRevokedKeyWithinFiveSeconds(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		_, err := f.change(f.hosts[0], func(*View) (Change, error) {
 			return Change{Items: []Item{item("workspace", "w", map[string]int{"rate_tokens": 1}), keyItem("k", "w", "aa", false)}}, nil
@@ -145,8 +149,10 @@
 }
 
 func TestMinorityCutOffStops(t *testing.T) {
+	t.Parallel()
 	for _, storeDown := range []bool{false, true} {
 		t.Run(fmt.Sprintf("storeDown=%t", storeDown), func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(is *is.I, f *fleet) {
 				f.store.SetDown(storeDown)
 				f.cutOff(true, 1, 4)
@@ -162,6 +168,7 @@
 // The majority goes on by its own word; the minority that has the store goes
 // on too, and its changes wait, stored but not accepted, until the sides meet.
 func TestMajorityWithoutStore(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.cutOff(true, 0, 1, 2)
 		o, err := f.change(f.hosts[3], addWorkspace("w", 0))
@@ -181,6 +188,7 @@
 }
 
 func TestHostStartedDuringOutageLearnsFromPeers(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		for i := range 10 {
 			_, err := f.change(f.hosts[0], addWorkspace(fmt.Sprint("w", i), 60000))
@@ -198,6 +206,7 @@
 }
 
 func TestChangeIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		o, err := f.change(f.hosts[0], addWorkspace("w", 0))
 		is.NoErr(err)
@@ -217,6 +226,7 @@
 }
 
 func TestSuspendedHostIsNotFresh(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	boot := time.Hour
 	h := NewHolder(HolderOptions{Host: "h", Clock: Clock{Boot: func() time.Duration { return boot }}})
@@ -229,6 +239,7 @@
 }
 
 func TestOlderViewIsNotInstalled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	h := NewHolder(HolderOptions{Host: "h"})
 	first := apply(is, Empty(), item("workspace", "w", map[string]int{"rate_tokens": 1}))
@@ -241,6 +252,7 @@
 }
 
 func TestLostMajorityIsMendedAtOperatorsWord(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		for _, i := range []int{1, 2, 3} {
 			f.hosts[i].stop()
@@ -260,6 +272,7 @@
 }
 
 func TestGoneVoterIsReplaced(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.unlist(f.hosts[2], true)
 		time.Sleep(15 * time.Second)
@@ -275,6 +288,7 @@
 // One change that is larger than a message and a segment reaches every host by
 // pages, from the store and from peers.
 func TestBulkChangeReachesAllHostsByPages(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 14, 1, flaws{})
@@ -297,6 +311,7 @@
 }
 
 func TestLeavingHostHandsOverItsPart(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(is *is.I, f *fleet) {
 		f.mu.Lock()
 		f.leaving = f.hosts[2]
--- a/internal/snapshot/figures_test.go
+++ b/internal/snapshot/figures_test.go
@@ -119,6 +119,7 @@
 // them to the targets: a quarter of the store's reads, and a change on all
 // hosts within 3 s or 13 s.
 func TestSpreadFigures(t *testing.T) {
+	t.Parallel()
 	const readsPerMinute = 2000 * 60 / 4
 	sizes := []struct {
 		hosts, domains int
--- a/internal/snapshot/freshness_test.go
+++ b/internal/snapshot/freshness_test.go
@@ -118,6 +118,7 @@
 // no host goes back, under outages, partitions, pauses, restarts, lost answers
 // and changes of the voters.
 func TestFreshHostsMissNoAcceptedChange(t *testing.T) {
+	t.Parallel()
 	total := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		violations, accepted := runSteps(t, flaws{}, drawSteps(rt))
@@ -134,6 +135,7 @@
 
 // The same checks notice each mechanism when it is broken.
 func TestBrokenMechanismsAreNoticed(t *testing.T) {
+	t.Parallel()
 	const short, long = 30 * time.Millisecond, 4 * time.Second
 	cases := []struct {
 		name  string
@@ -192,6 +194,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			if violations, accepted := runSteps(t, flaws{}, c.steps); len(violations) > 0 || accepted == 0 {
 				t.Fatalf("the sound one: %d accepted, violations %v", accepted, violations)
 			}
--- a/internal/snapshot/log_test.go
+++ b/internal/snapshot/log_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := kv.New(kv.Options{})
@@ -49,6 +50,7 @@
 }
 
 func TestOwnWriteIsRecognisedUnderLaterWrites(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := kv.New(kv.Options{})
@@ -68,6 +70,7 @@
 }
 
 func TestStoreDownChangesNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := kv.New(kv.Options{})
 	store.SetDown(true)
@@ -163,6 +166,7 @@
 }
 
 func TestAcceptedOnceUnderLostAnswers(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		r := logRun{
 			writers: rapid.IntRange(1, 4).Draw(rt, "writers"),
@@ -178,6 +182,7 @@
 }
 
 func TestForgottenWriterMarkIsNoticed(t *testing.T) {
+	t.Parallel()
 	// Which write loses its answer depends on how the writers are scheduled,
 	// so one run alone may have nothing to notice.
 	for seed := range uint64(20) {
@@ -194,6 +199,7 @@
 }
 
 func TestFoldKeepsObjectsBoundedAndBelowOneMegabyte(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := kv.New(kv.Options{})
 	l, v := newTestLog(store), Empty()
--- a/test/fault/disorder_test.go
+++ b/test/fault/disorder_test.go
@@ -1,4 +1,4 @@
-//go:build linux && integration
+//go:build linux && long
 
 package fault
 
