platform: one follower of the store and one pause; role: one rate

Cause: lease.Directory and quota.Slots each held the loop of list, watch and retry; three packages had the same context-aware sleep; the role and pool deciders each turned engines' counts into rates. Change: platform.Follower and platform.Pause, and role.Counts.Since, serve both sides; bounds, pauses and behaviour after failures are as before. Ruled out: merging setDefault of rpc and once (five lines, no package that both should import), and pool.Demand with role.Demand, whose scopes differ.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/pool"
+	"github.com/acacialink/acacialink/internal/role"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
 
@@ -26,18 +27,10 @@
 // demandMeter measures a pool's demand from what its engines did and have
 // waiting.
 type demandMeter struct {
-	last map[string]work
+	last map[string]role.Counts
 }
 
-// work is what an engine had done at a moment, in tokens.
-type work struct {
-	incarnation string
-	at          time.Time
-	prefilled   int64
-	generated   int64
-}
-
-func newDemandMeter() *demandMeter { return &demandMeter{last: make(map[string]work)} }
+func newDemandMeter() *demandMeter { return &demandMeter{last: make(map[string]role.Counts)} }
 
 // backlogTime is the time in which waiting prompts should be done.
 const backlogTime = 10 * time.Second
@@ -51,8 +44,8 @@
 			continue
 		}
 		heard++
-		next := work{incarnation: d.state.Incarnation, at: d.at, prefilled: d.state.PrefilledTokens, generated: d.state.GeneratedTokens}
-		served := m.served(d.Name, next)
+		next := role.Counts{Incarnation: d.state.Incarnation, At: d.at, Prompt: d.state.PrefilledTokens, Output: d.state.GeneratedTokens}
+		served := next.Since(m.last[d.Name])
 		sum.Prefill += served.Prefill + float64(d.state.WaitingPromptTokens)/backlogTime.Seconds()
 		sum.Decode += served.Decode
 		m.last[d.Name] = next
@@ -63,15 +56,3 @@
 	scale := float64(all) / float64(heard)
 	return pool.Demand{Prefill: sum.Prefill * scale, Decode: sum.Decode * scale}
 }
-
-func (m *demandMeter) served(name string, next work) pool.Demand {
-	before, ok := m.last[name]
-	elapsed := next.at.Sub(before.at).Seconds()
-	if !ok || before.incarnation != next.incarnation || elapsed <= 0 {
-		return pool.Demand{}
-	}
-	return pool.Demand{
-		Prefill: float64(max(0, next.prefilled-before.prefilled)) / elapsed,
-		Decode:  float64(max(0, next.generated-before.generated)) / elapsed,
-	}
-}
--- a/internal/lease/directory.go
+++ b/internal/lease/directory.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/acacialink/acacialink/internal/platform"
 )
 
@@ -64,27 +62,15 @@
 
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		after, err := d.list(ctx)
-		for err == nil {
-			after, err = d.watch(ctx, after)
-		}
-		timer := time.NewTimer(watchRetry)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+	f := platform.Follower{
+		Store: d.store, Prefix: keyPrefix,
+		Wait: watchWait, Timeout: watchTimeout, Retry: watchRetry,
+		Replace: d.replace, Apply: d.apply,
 	}
+	f.Run(ctx)
 }
 
-func (d *Directory) list(ctx context.Context) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	items, revision, err := d.store.List(ctx, keyPrefix)
-	if err != nil {
-		return 0, errors.Wrap(err, "list pieces")
-	}
+func (d *Directory) replace(items []platform.KeyValue) error {
 	holders := make(map[string]Holder, len(items))
 	for _, kv := range items {
 		if name, h, ok := decodeHolder(kv); ok {
@@ -92,18 +78,12 @@
 		}
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.holders, d.known = holders, true
-	d.mu.Unlock()
-	return revision, nil
+	return nil
 }
 
-func (d *Directory) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-	defer cancel()
-	events, revision, err := d.store.Watch(ctx, keyPrefix, after, watchWait)
-	if err != nil {
-		return 0, errors.Wrap(err, "watch pieces")
-	}
+func (d *Directory) apply(events []platform.Event) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range events {
@@ -115,7 +95,7 @@
 			d.holders[name] = h
 		}
 	}
-	return revision, nil
+	return nil
 }
 
 func decodeHolder(kv platform.KeyValue) (string, Holder, bool) {
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -10,6 +10,7 @@
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/opsapi"
+	"github.com/acacialink/acacialink/internal/platform"
 )
 
 // callerServer serves callers. It bounds headers in size and time.
@@ -56,19 +57,10 @@
 	e.members.Leave(time.Now())
 	e.log.Info("drain began")
 	begun := time.Now()
-	pause(ctx, e.settings.Timeouts.DrainNotice.Std())
+	platform.Pause(ctx, e.settings.Timeouts.DrainNotice.Std())
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain.Std())
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	e.log.Info("drain ended", "requests_left", e.callers.Open(), "complete", err == nil, "duration_ms", time.Since(begun).Milliseconds())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -58,7 +58,7 @@
 // Close records the outcomes that are still queued, until ctx ends, and stops.
 // No Run may start after it.
 func (c *Claims) Close(ctx context.Context) {
-	for !c.idle() && sleep(ctx, closePoll) {
+	for !c.idle() && platform.Pause(ctx, closePoll) {
 		continue
 	}
 	c.stop()
--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -29,11 +29,11 @@
 		case errors.Is(err, platform.ErrConflict):
 			s.stats.Conflicts.Add(1)
 			delay = min(2*delay, 16*conflictDelay)
-			if sleep(ctx, jitter(delay)) {
+			if platform.Pause(ctx, jitter(delay)) {
 				continue
 			}
 		case errors.Is(err, platform.ErrUnavailable):
-			if sleep(ctx, retryDelay) {
+			if platform.Pause(ctx, retryDelay) {
 				continue
 			}
 		}
--- a/internal/once/shard.go
+++ b/internal/once/shard.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/acacialink/acacialink/internal/platform"
 )
 
 const (
@@ -155,7 +157,7 @@
 			if !s.gather(ctx) {
 				return
 			}
-			if !s.commit(ctx, s.take()) && !sleep(ctx, idleRetryDelay) {
+			if !s.commit(ctx, s.take()) && !platform.Pause(ctx, idleRetryDelay) {
 				return
 			}
 		}
@@ -176,7 +178,7 @@
 		case <-s.kick:
 		}
 	}
-	return sleep(ctx, s.options.Linger)
+	return platform.Pause(ctx, s.options.Linger)
 }
 
 func (s *shard) hasClaim() bool {
@@ -185,18 +187,6 @@
 	return slices.ContainsFunc(s.queue, (*op).isClaim)
 }
 
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // jitter returns a random part of d.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(rand.Int64N(int64(d) + 1))
--- a/internal/once/write.go
+++ b/internal/once/write.go
@@ -39,7 +39,7 @@
 		if rev, err := s.swap(ctx, value); err == nil {
 			return rev, nil
 		}
-		if !sleep(ctx, retryDelay) {
+		if !platform.Pause(ctx, retryDelay) {
 			s.stats.Unsettled.Add(1)
 			return 0, errUnsettled
 		}
@@ -69,7 +69,7 @@
 		if errors.Is(err, platform.ErrNotFound) {
 			return platform.KeyValue{}, nil
 		}
-		if !sleep(ctx, retryDelay) {
+		if !platform.Pause(ctx, retryDelay) {
 			return platform.KeyValue{}, err
 		}
 	}
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -132,8 +132,8 @@
 		} else {
 			failures++
 		}
-		if err := sleep(ctx, s.pause(failures)); err != nil {
-			return err
+		if !platform.Pause(ctx, s.pause(failures)) {
+			return ctx.Err()
 		}
 	}
 }
@@ -222,14 +222,3 @@
 	defer s.mu.Unlock()
 	s.stale = stale
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/quota/slotstore.go
+++ b/internal/quota/slotstore.go
@@ -39,46 +39,29 @@
 // most one each watchRetry, so that many changes at once do not wake all hosts
 // for each.
 func (s *Slots) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		after, err := s.list(ctx)
-		for err == nil {
-			after, err = s.watch(ctx, after)
-			_ = sleep(ctx, watchRetry)
-		}
-		_ = sleep(ctx, watchRetry)
+	f := platform.Follower{
+		Store: s.config.Store, Prefix: SlotKey,
+		Wait: slotWatch, Timeout: slotTimeout, Retry: watchRetry, Spacing: watchRetry,
+		Replace: s.adoptAll,
+		Apply: func(events []platform.Event) error {
+			for _, e := range events {
+				if err := s.adopt(e.KeyValue); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 	}
+	f.Run(ctx)
 }
 
-// list adopts the table and returns the revision to watch from.
-func (s *Slots) list(ctx context.Context) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, slotTimeout)
-	defer cancel()
-	items, revision, err := s.config.Store.List(ctx, SlotKey)
-	if err != nil {
-		return 0, errors.Wrap(err, "list slot table")
-	}
+func (s *Slots) adoptAll(items []platform.KeyValue) error {
 	for _, kv := range items {
 		if err := s.adopt(kv); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	return revision, nil
-}
-
-// watch waits for changes after the revision and adopts them.
-func (s *Slots) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, slotWatch+slotTimeout)
-	defer cancel()
-	events, revision, err := s.config.Store.Watch(ctx, SlotKey, after, slotWatch)
-	if err != nil {
-		return 0, errors.Wrap(err, "watch slot table")
-	}
-	for _, e := range events {
-		if err := s.adopt(e.KeyValue); err != nil {
-			return 0, err
-		}
-	}
-	return revision, nil
+	return nil
 }
 
 // adopt takes a version of the table unless it is older than the one known.
--- a/internal/role/demand.go
+++ b/internal/role/demand.go
@@ -13,30 +13,43 @@
 // meter measures demand from the engines' counts.
 type meter struct {
 	settings Settings
-	last     map[string]count
+	last     map[string]Counts
 	demand   Demand
 	at       time.Time
 }
 
-// count is what an engine had done at a moment.
-type count struct {
-	incarnation string
-	at          time.Time
-	prompt      int64
-	output      int64
+// Counts is what an engine had done at a moment, in tokens.
+type Counts struct {
+	// Incarnation is the start of the agent that counted.
+	Incarnation    string
+	At             time.Time
+	Prompt, Output int64
+}
+
+// Since returns the rate of work since the counts before; zero when these are
+// absent or from another start of the agent.
+func (c Counts) Since(before Counts) Demand {
+	elapsed := c.At.Sub(before.At).Seconds()
+	if before.At.IsZero() || before.Incarnation != c.Incarnation || elapsed <= 0 {
+		return Demand{}
+	}
+	return Demand{
+		Prefill: float64(max(0, c.Prompt-before.Prompt)) / elapsed,
+		Decode:  float64(max(0, c.Output-before.Output)) / elapsed,
+	}
 }
 
 func newMeter(s Settings) *meter {
-	return &meter{settings: s, last: make(map[string]count)}
+	return &meter{settings: s, last: make(map[string]Counts)}
 }
 
 // observe takes the engines' reports and returns the demand.
 func (m *meter) observe(now time.Time, engines []Engine) Demand {
 	var rate Demand
-	seen := make(map[string]count, len(engines))
+	seen := make(map[string]Counts, len(engines))
 	for _, e := range engines {
-		next := count{incarnation: e.Incarnation, at: e.At, prompt: e.PromptTokens, output: e.OutputTokens}
-		rate.add(m.served(e.Name, next))
+		next := Counts{Incarnation: e.Incarnation, At: e.At, Prompt: e.PromptTokens, Output: e.OutputTokens}
+		rate.add(next.Since(m.last[e.Name]))
 		rate.Prefill += float64(e.WaitingPromptTokens) / m.settings.BacklogTime.Seconds()
 		seen[e.Name] = next
 	}
@@ -45,19 +58,6 @@
 	return m.demand
 }
 
-// served is the rate of an engine since its last report.
-func (m *meter) served(name string, next count) Demand {
-	before, ok := m.last[name]
-	elapsed := next.at.Sub(before.at).Seconds()
-	if !ok || before.incarnation != next.incarnation || elapsed <= 0 {
-		return Demand{}
-	}
-	return Demand{
-		Prefill: float64(max(0, next.prompt-before.prompt)) / elapsed,
-		Decode:  float64(max(0, next.output-before.output)) / elapsed,
-	}
-}
-
 func (d *Demand) add(o Demand) {
 	d.Prefill += o.Prefill
 	d.Decode += o.Decode
