entry, fleet: charge what an engine may have generated unseen; tests of sessions

Cause: a canceled or cut answer was settled at the tokens that the host saw, while the engine may have generated more, which the rate has to cover. Ruled out: settling at the whole reservation, which charges 2,000 tokens for a chat that is closed after ten.

--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -50,12 +50,21 @@
 
 func (g *generation) ran() bool { return g.finished != nil || g.mayHaveRun }
 
-// used is the number of tokens that count against the workspace's rate.
+// unseenTokens bounds what an engine generates after the last token that the
+// host saw: a lost session is noticed and its work canceled within that time.
+const unseenTokens = 128
+
+// used is the number of tokens that count against the workspace's rate. An
+// answer that was cut counts as if the engine had gone on for a while.
 func (g *generation) used() int64 {
-	if !g.ran() {
+	switch {
+	case !g.ran():
 		return 0
+	case g.finished != nil:
+		return int64(g.promptTokens + g.delivered)
+	default:
+		return int64(g.promptTokens + min(g.maxTokens, g.delivered+unseenTokens))
 	}
-	return int64(g.promptTokens + g.delivered)
 }
 
 // run generates until the answer is complete. A generation may be repeated
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/acacialink/acacialink/internal/resource"
+	"github.com/acacialink/acacialink/internal/route"
+	"github.com/acacialink/acacialink/internal/rpc"
+	"github.com/acacialink/acacialink/internal/rpc/wire"
+)
+
+// fakeAgent holds each request until it is released.
+type fakeAgent struct {
+	wire.DRPCAgentUnimplementedServer
+	name    string
+	begun   chan struct{}
+	release chan struct{}
+}
+
+func (f *fakeAgent) Session(stream wire.DRPCAgent_SessionStream) error {
+	return rpc.ServeSession(stream, f, rpc.Options{})
+}
+
+func (f *fakeAgent) State(uint64) *wire.AgentState {
+	return &wire.AgentState{Endpoint: f.name, Ready: true, Models: []string{"m"}}
+}
+
+func (f *fakeAgent) Changed() <-chan struct{} { return nil }
+
+func (f *fakeAgent) Handle(ctx context.Context, _ *wire.EntryMessage, r *rpc.Responder) {
+	f.begun <- struct{}{}
+	select {
+	case <-f.release:
+	case <-ctx.Done():
+		return
+	}
+	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Finished{Finished: &wire.Finished{}}})
+}
+
+func startAgent(t *testing.T, name string) (*fakeAgent, string) {
+	t.Helper()
+	f := &fakeAgent{name: name, begun: make(chan struct{}, 1), release: make(chan struct{})}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterAgent(mux, f); err != nil {
+		t.Fatal(err)
+	}
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = rpc.NewServer(mux, nil, rpc.Options{}).Serve(ctx, l) }()
+	return f, l.Addr().String()
+}
+
+// newFleet returns a fleet whose host list says that leaving is on its way out.
+func newFleet(t *testing.T, leaving *atomic.Bool) (*Fleet, *route.Router, context.Context) {
+	t.Helper()
+	router := route.NewRouter(route.NewPicker(rand.New(rand.NewPCG(1, 1))))
+	f := New(Options{
+		Host: "h", Domain: "north", Stats: &rpc.Stats{}, Router: router, Subset: route.DefaultSubsetSize,
+		Dialer:        func(string) *rpc.Dialer { return rpc.NewDialer(nil, rpc.Options{}) },
+		RetireTimeout: 10 * time.Second,
+		Leaving:       func(string) bool { return leaving.Load() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		f.Wait()
+	})
+	return f, router, ctx
+}
+
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never")
+		}
+	}
+}
+
+func endpoint(name, address string) Endpoint {
+	return Endpoint{Name: name, Spec: resource.EndpointSpec{Kind: resource.EndpointEngine, Domain: "north", Agent: address, Models: []string{"m"}}}
+}
+
+func TestRemovedEndpointFinishesItsRequests(t *testing.T) {
+	is := is.New(t)
+	agent, address := startAgent(t, "e")
+	f, router, ctx := newFleet(t, &atomic.Bool{})
+	f.Reconcile(ctx, []Endpoint{endpoint("e", address)}, nil)
+	await(t, func() bool { return len(router.Candidates()) == 1 })
+	call, err := f.Session("e").Open("r", &wire.EntryMessage{Body: &wire.EntryMessage_Generate{Generate: &wire.GenerateRequest{}}})
+	is.NoErr(err)
+	<-agent.begun
+	f.Reconcile(ctx, nil, nil)
+	is.Equal(len(router.Candidates()), 0) // No new work from this moment.
+	time.AfterFunc(100*time.Millisecond, func() { close(agent.release) })
+	m, err := call.Next(t.Context())
+	is.NoErr(err)
+	is.True(m.GetFinished() != nil)
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	_, address := startAgent(t, "e")
+	leaving := &atomic.Bool{}
+	f, router, ctx := newFleet(t, leaving)
+	f.Reconcile(ctx, []Endpoint{endpoint("e", address)}, nil)
+	await(t, func() bool { return len(router.Candidates()) == 1 })
+	_, err := router.Pick(time.Now(), &route.Request{Model: "m"})
+	is.NoErr(err)
+	leaving.Store(true)
+	await(t, func() bool {
+		_, err := router.Pick(time.Now(), &route.Request{Model: "m"})
+		return err != nil
+	})
+}
+
+func TestAgentOfAnotherEndpointIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	_, address := startAgent(t, "other")
+	heard := make(chan struct{}, 64)
+	f, router, ctx := newFleet(t, &atomic.Bool{})
+	f.opts.Observe = func(string, *wire.AgentState) { heard <- struct{}{} }
+	f.Reconcile(ctx, []Endpoint{endpoint("e", address)}, nil)
+	<-heard
+	is.Equal(len(router.Candidates()), 0)
+}
