--- a/internal/snapshot/upkeep.go
+++ b/internal/snapshot/upkeep.go
@@ -20,7 +20,7 @@
 	// upkeepSoon the same while a site has no voters or replaces them: until
 	// then it cannot go on without the store.
 	upkeepInterval = 5 * time.Second
-	upkeepSoon     = 500 * time.Millisecond
+	upkeepSoon     = 100 * time.Millisecond
 )
 
 // runUpkeep replaces voters that are gone, until ctx ends.
