--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -42,7 +42,7 @@
 		return nil, errors.Wrap(err, "register agent")
 	}
 	a.server = rpc.NewServer(mux, certs.ServerTLS(source, certs.RoleEntry, certs.RoleAgent), agentRPC(s))
-	a.registry.RegisterState("agent", func() any { return a.agent.State() })
+	a.registry.RegisterState("agent", func() any { return a.agent.State(0) })
 	a.publish()
 	if err := a.listen(ctx); err != nil {
 		return nil, err
@@ -56,6 +56,8 @@
 		Domain:       s.Domain,
 		Incarnation:  observe.NewRequestID(),
 		MaxInFlight:  s.Limits.Streams,
+		CacheEvents:  s.Limits.CacheEvents,
+		CallTimeout:  s.Timeouts.Call.Std(),
 		LoadInterval: s.Timeouts.Load.Std(),
 		RPC:          agentRPC(s),
 	}
@@ -81,6 +83,7 @@
 		DialTimeout:  s.Timeouts.Dial.Std(),
 		MessageBytes: int(s.Limits.MessageBytes),
 		MaxStreams:   s.Limits.Streams,
+		MaxConns:     s.Limits.Connections,
 		OutboxBytes:  int(s.Limits.SessionQueueBytes),
 	}
 }
