node: candidates for control work once a step, one shared host list

Cause: docs/CAPACITY.md worked out 34 percent of a core for control at the target, 217 ms/s of it from listing members and candidates for each of 367 pieces, and 121 KB/s from each host reading the whole host list for its quota slots. Change: candidates are kept for half a second; slots use the list that membership reads in turns and spreads. Ruled out: a change of the pieces' number.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -63,7 +63,7 @@
 	if e.draining.draining.Load() {
 		return "", false
 	}
-	return e.holders.Preferred(piece, lease.Candidates(e.directory.live(), controlHosts))
+	return e.holders.Preferred(piece, e.directory.candidates())
 }
 
 // buildControl makes the reconcilers of pools and roles.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/member"
+	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -22,6 +24,27 @@
 	host  string
 	table *member.Table
 	pool  *rpc.Pool
+
+	// mu guards chosen, the candidates for control work as of chosenAt.
+	mu       sync.Mutex
+	chosen   []string
+	chosenAt time.Time
+}
+
+// candidatesFor is how long the candidates for control work are kept: they
+// are asked for once a piece, and take a walk over all members.
+const candidatesFor = 500 * time.Millisecond
+
+// candidates returns the hosts that share control work. The caller does not
+// change the slice.
+func (d *directory) candidates() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Since(d.chosenAt) >= candidatesFor {
+		d.chosen = lease.Candidates(d.live(), controlHosts)
+		d.chosenAt = time.Now()
+	}
+	return d.chosen
 }
 
 // peers returns the entry hosts that are not gone, this one included.
@@ -57,3 +80,24 @@
 
 // MemberCount is the number of entry hosts that this one takes for live.
 func (e *Entry) MemberCount() int { return len(e.directory.live()) }
+
+// listedHosts is the platform's host list as membership spreads it: the entry
+// hosts take turns in reading it, so that not each reads the whole list.
+type listedHosts struct{ table *member.Table }
+
+// Hosts implements platform.HostList. A host counts as listed until both the
+// list has dropped it and it is silent.
+func (l listedHosts) Hosts(context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
+	for _, m := range l.table.Entries(time.Now()) {
+		if m.State == member.Gone && m.Listed == member.Gone {
+			continue
+		}
+		state := platform.HostLive
+		if m.State == member.Leaving || m.Listed == member.Leaving {
+			state = platform.HostLeaving
+		}
+		hosts = append(hosts, platform.Host{Name: m.Name, Domain: m.Domain, State: state, Address: m.Address})
+	}
+	return hosts, nil
+}
--- a/internal/node/entrystate.go
+++ b/internal/node/entrystate.go
@@ -33,7 +33,7 @@
 	for name, read := range gauges {
 		e.registry.NewGauge(name, func() any { return read() })
 	}
-	e.registry.RegisterState("config", func() any { return e.configState() })
+	e.registry.RegisterState("config", func() any { return e.config.State() })
 	e.registry.RegisterState("members", func() any { return e.members.Dump(time.Now()) })
 	e.registry.RegisterState("endpoints", func() any { return e.fleet.States() })
 	e.registry.RegisterState("pieces", func() any { return e.leases.Pieces() })
@@ -45,20 +45,3 @@
 	e.registry.RegisterState("router", func() any { return e.router.Candidates() })
 	e.registry.RegisterState("queues", func() any { return e.queues.Stats() })
 }
-
-// configState is the part of the state dump about the configuration.
-type configState struct {
-	Revision int64 `json:"revision"`
-	// Known is false while the host never confirmed its configuration.
-	Known bool  `json:"known"`
-	AgeMS int64 `json:"age_ms"`
-}
-
-func (e *Entry) configState() configState {
-	age, known := e.config.Age()
-	return configState{
-		Revision: int64(e.config.Current().Revision()),
-		Known:    known,
-		AgeMS:    age.Milliseconds(),
-	}
-}
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -20,7 +20,7 @@
 		Host:        e.settings.Name,
 		Incarnation: e.incarnation,
 		Store:       e.store,
-		Hosts:       e.hostList,
+		Hosts:       listedHosts{e.members},
 		Fresh:       e.fresh,
 	})
 	settings := quota.DefaultSettings()
