order, control: a settled order carries its sender; no repeat while a report lags

Cause: the fault tests saw two issuers under one fencing number, since a successor settled an order in its predecessor's name, and the same adapter ordered twice, since the engine's report lags by half a second. Change: the settling holder is the issuer; an engine gets no further load order for 3 s after one is done. Ruled out: trusting the answer as the engine's state, which a crash makes false.

--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -54,12 +54,16 @@
 type roleWork struct {
 	fence   int64
 	decider *role.Decider
-	// failed is when an order to an engine last failed.
-	failed map[string]time.Time
+	// notBefore is when an engine may get its next order to load something.
+	notBefore map[string]time.Time
 }
 
-// retryOrder is the pause after a failed order to an engine.
-const retryOrder = 30 * time.Second
+// retryOrder is the pause after a failed order to an engine, settleOrder that
+// after one that was done: the engine's report of what it has loaded lags.
+const (
+	retryOrder  = 30 * time.Second
+	settleOrder = 3 * time.Second
+)
 
 // RoleState is what the dump shows of one piece.
 type RoleState struct {
@@ -105,7 +109,7 @@
 		capacity := role.Capacity{PrefillTokens: float64(spec.PrefillTokens), DecodeTokens: float64(spec.DecodeTokens)}
 		settings := r.opts.Settings
 		settings.Floor = max(settings.Floor, view.Policy().RoleFloor)
-		w = &roleWork{fence: fence, decider: role.NewDecider(time.Now(), settings, capacity), failed: make(map[string]time.Time)}
+		w = &roleWork{fence: fence, decider: role.NewDecider(time.Now(), settings, capacity), notBefore: make(map[string]time.Time)}
 		r.pieces[piece] = w
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -140,10 +144,11 @@
 func (r *Roles) give(ctx context.Context, w *roleWork, o EngineOrder, reason string) {
 	log := r.opts.Log.With("piece", o.Piece, "endpoint", o.Endpoint, "order", string(o.Kind), "fence", o.Fence, "reason", reason)
 	if err := r.opts.Orders.Give(ctx, o); err != nil {
-		w.failed[o.Endpoint] = time.Now()
+		w.notBefore[o.Endpoint] = time.Now().Add(retryOrder)
 		log.Warn("order not done", "error", err.Error())
 		return
 	}
+	w.notBefore[o.Endpoint] = time.Now().Add(settleOrder)
 	log.Info("order done")
 }
 
@@ -155,7 +160,7 @@
 		return false
 	}
 	for _, e := range engines {
-		if e.state == nil || e.state.Draining || time.Since(w.failed[e.Name]) < retryOrder {
+		if e.state == nil || e.state.Draining || time.Now().Before(w.notBefore[e.Name]) {
 			continue
 		}
 		o := EngineOrder{Piece: piece, Fence: w.fence, Endpoint: e.Name, Agent: e.Spec.Agent, Model: model}
--- a/internal/order/giver.go
+++ b/internal/order/giver.go
@@ -86,6 +86,7 @@
 		last.Fence = t.Fence
 		last.Piece = t.Piece
 		last.Order.Fence = t.Fence
+		last.Order.Issuer = g.host
 		if err := r.Swap(ctx, last); err != nil {
 			return lost(err)
 		}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -109,6 +109,7 @@
 	is.Equal(len(s.engine.applied), 3)
 	is.Equal(s.engine.applied[1].ID, s.engine.applied[0].ID)
 	is.Equal(s.engine.applied[1].Role, platform.RolePrefill)
+	is.Equal(s.engine.applied[1].Issuer, "b") // One issuer to a fencing number.
 	is.Equal(s.engine.applied[2].Role, platform.RoleDecode)
 }
 
