--- a/internal/rpc/serving.go
+++ b/internal/rpc/serving.go
@@ -165,8 +165,8 @@
 	ticker := time.NewTicker(s.opts.Heartbeat)
 	defer ticker.Stop()
 	due := true
-	var beaten time.Time
 	sent := uint64(0)
+	var beaten time.Time
 	for {
 		changed := s.handler.Changed()
 		frame := &wire.AgentFrame{Messages: s.out.take(frameBytes)}
