tests: seeded runs of lease and once are parallel

Cause: 100 seeded sites of internal/lease ran one after the other. Change: they run side by side with the same seeds, ticks and checks. Ruled out: fewer seeds. The property test of once is one sequence of rapid and stays serial.

--- a/internal/lease/disturb_test.go
+++ b/internal/lease/disturb_test.go
@@ -85,8 +85,10 @@
 }
 
 func TestTwoHoldersNeverAtOnce(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newSite(4, "a", "b", "c")
@@ -113,11 +115,13 @@
 }
 
 func TestBrokenSetsAreCaught(t *testing.T) {
+	t.Parallel()
 	for name, f := range map[string]flaws{
 		"counts from the answer and beyond": {countsFromAnswer: true, noMargin: true},
 		"no margin":                         {noMargin: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			found := 0
 			for seed := range uint64(6) {
--- a/internal/once/property_test.go
+++ b/internal/once/property_test.go
@@ -16,6 +16,7 @@
 }
 
 func TestNoKeyRunsTwiceUnderFaults(t *testing.T) {
+	t.Parallel()
 	requests, tally := 0, map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
 		p := plans.Draw(rt, "plan")
@@ -36,11 +37,13 @@
 
 // The same audit must catch variants with a part of the mechanism missing.
 func TestAuditCatchesBrokenVariants(t *testing.T) {
+	t.Parallel()
 	for name, broken := range map[string]brokenVariant{
 		"claims are taken over":      {takeOver: true},
 		"unknown outcomes free keys": {freeUnknown: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			caught := 0
 			for seed := range 20 {
