--- a/internal/lease/slope_test.go
+++ b/internal/lease/slope_test.go
@@ -77,19 +77,32 @@
 	}
 }
 
-// BenchmarkPreferred measures what a host does once a second for each piece.
-func BenchmarkPreferred(b *testing.B) {
+// BenchmarkCandidates measures what a host does once a step.
+func BenchmarkCandidates(b *testing.B) {
 	for _, n := range []int{25, 50, 100, 200, 370} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			hosts := slopeHosts(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				Candidates(hosts, slopeCandidates)
+			}
+		})
+	}
+}
+
+// BenchmarkPreferred measures what a host does once a step for each piece.
+func BenchmarkPreferred(b *testing.B) {
+	for _, n := range []int{25, 50, 100, 200, 370} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			candidates := Candidates(slopeHosts(n), slopeCandidates)
 			d := NewDirectory(nil)
 			d.known = true
-			for _, h := range Candidates(hosts, slopeCandidates) {
+			for _, h := range candidates {
 				d.holders[HostPiece(h)] = Holder{Host: h}
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				d.Preferred("role/d1/pool-1", Candidates(hosts, slopeCandidates))
+				d.Preferred("role/d1/pool-1", candidates)
 			}
 		})
 	}
