--- a/internal/usage/slope_test.go
+++ b/internal/usage/slope_test.go
@@ -73,15 +73,6 @@
 	}
 }
 
-// BenchmarkAdd measures one count on the request path.
-func BenchmarkAdd(b *testing.B) {
-	r := NewRecorder(DefaultSettings())
-	b.ReportAllocs()
-	for b.Loop() {
-		r.Add("workspace-00001", "model-1", 100, 10, 0, 1)
-	}
-}
-
 // BenchmarkBatchBytes reports the bytes of a batch of one line, question and answer.
 func BenchmarkBatchBytes(b *testing.B) {
 	e := entryOf(slopeLine(1_790_000_000, 1), Figures{PromptTokens: 5000, OutputTokens: 300, CachedTokens: 1000, Calls: 1})
