rpc: the agent's watchdog stays out of the test of silent sessions

Change: the agent of the test is patient, the silence is a second, so that a busy machine does not end a session before it is frozen.

--- a/internal/rpc/session_test.go
+++ b/internal/rpc/session_test.go
@@ -179,8 +179,10 @@
 // reset, but nothing arrives any more.
 func TestSilentSessionEnds(t *testing.T) {
 	is := is.New(t)
-	opts := Options{Heartbeat: 20 * time.Millisecond, Silence: 200 * time.Millisecond}
-	agent := &fakeAgent{opts: opts, handled: make(chan string, 1), hold: make(chan struct{})}
+	opts := Options{Heartbeat: 20 * time.Millisecond, Silence: time.Second}
+	// The agent's own watchdog must not close the path first.
+	patient := Options{Heartbeat: opts.Heartbeat, Silence: time.Minute}
+	agent := &fakeAgent{opts: patient, handled: make(chan string, 1), hold: make(chan struct{})}
 	path := newFrozenPath(t, startAgent(t, agent))
 	stats := &Stats{}
 	s := openSession(t, path.address, opts, stats)
@@ -199,7 +201,7 @@
 func TestSilentIdleSessionEndsOnceUsed(t *testing.T) {
 	for _, used := range []bool{true, false} {
 		is := is.New(t)
-		opts := Options{Heartbeat: 20 * time.Millisecond, Silence: 200 * time.Millisecond, IdleSilence: time.Hour}
+		opts := Options{Heartbeat: 20 * time.Millisecond, Silence: time.Second, IdleSilence: time.Hour}
 		if !used {
 			opts.Silence, opts.IdleSilence = time.Hour, 200*time.Millisecond
 			opts.IdleHeartbeat = 20 * time.Millisecond
