settings, cmd: 32 usage shards, one way to run a process

Cause: four usage shards pass the store's megabyte at 12,300 workspaces in use (docs/CAPACITY.md), and changing their number later needs every window reported; the two process commands stood twice. Ruled out: shards by the number of workspaces, which hosts would see at different times. Measured: go test ./internal/settings ./cmd/... green; a record of 293 KB at the target by the page's slope.

--- a/cmd/acacialink/process.go
+++ b/cmd/acacialink/process.go
@@ -16,6 +16,14 @@
 	"github.com/acacialink/acacialink/internal/settings"
 )
 
+// runner is an entry host or an agent.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// build opens the listeners of a process.
+type build func(ctx context.Context, source certs.Source, log *slog.Logger) (runner, error)
+
 // untilStopped returns a context that ends at the first SIGTERM or SIGINT; a
 // second one ends the process at once.
 func untilStopped() (context.Context, context.CancelFunc) {
@@ -26,33 +34,29 @@
 
 func addEntry(app *kingpin.Application) {
 	command := app.Command("entry", "Run an entry host process.")
-	path := command.Flag("settings", "Settings file (JSON with comments).").Required().String()
+	path := settingsFlag(command)
 	command.Action(func(*kingpin.ParseContext) error { return runEntry(*path) })
 }
 
+func addAgent(app *kingpin.Application) {
+	command := app.Command("agent", "Run the process beside an endpoint.")
+	path := settingsFlag(command)
+	command.Action(func(*kingpin.ParseContext) error { return runAgent(*path) })
+}
+
+func settingsFlag(command *kingpin.CmdClause) *string {
+	return command.Flag("settings", "Settings file (JSON with comments).").Required().String()
+}
+
 func runEntry(path string) error {
 	s, err := settings.LoadEntry(path)
 	if err != nil {
 		return exit.With(exit.Settings, err)
 	}
-	source, err := sourceOf(s.TLS)
-	if err != nil {
-		return exit.With(exit.Settings, err)
-	}
-	ctx, stop := untilStopped()
-	defer stop()
-	log := observe.NewLogger(os.Stderr, slog.LevelInfo, observe.Identity{Process: s.Name, Role: "entry", Domain: s.Domain})
-	entry, err := node.NewEntry(ctx, s, source, log)
-	if err != nil {
-		return err
-	}
-	return entry.Run(ctx)
-}
-
-func addAgent(app *kingpin.Application) {
-	command := app.Command("agent", "Run the process beside an endpoint.")
-	path := command.Flag("settings", "Settings file (JSON with comments).").Required().String()
-	command.Action(func(*kingpin.ParseContext) error { return runAgent(*path) })
+	id := observe.Identity{Process: s.Name, Role: "entry", Domain: s.Domain}
+	return runProcess(s.TLS, id, func(ctx context.Context, source certs.Source, log *slog.Logger) (runner, error) {
+		return node.NewEntry(ctx, s, source, log)
+	})
 }
 
 func runAgent(path string) error {
@@ -60,20 +64,23 @@
 	if err != nil {
 		return exit.With(exit.Settings, err)
 	}
-	source, err := sourceOf(s.TLS)
+	id := observe.Identity{Process: s.Name, Role: "agent", Domain: s.Domain}
+	return runProcess(s.TLS, id, func(ctx context.Context, source certs.Source, log *slog.Logger) (runner, error) {
+		return node.NewAgent(ctx, s, source, log)
+	})
+}
+
+// runProcess builds a process and runs it until it is stopped.
+func runProcess(files settings.TLS, id observe.Identity, build build) error {
+	source, err := certs.NewFileSource(certs.Files{CA: files.CA, Cert: files.Cert, Key: files.Key})
 	if err != nil {
 		return exit.With(exit.Settings, err)
 	}
 	ctx, stop := untilStopped()
 	defer stop()
-	log := observe.NewLogger(os.Stderr, slog.LevelInfo, observe.Identity{Process: s.Name, Role: "agent", Domain: s.Domain})
-	agent, err := node.NewAgent(ctx, s, source, log)
+	process, err := build(ctx, source, observe.NewLogger(os.Stderr, slog.LevelInfo, id))
 	if err != nil {
 		return err
 	}
-	return agent.Run(ctx)
-}
-
-func sourceOf(files settings.TLS) (certs.Source, error) {
-	return certs.NewFileSource(certs.Files{CA: files.CA, Cert: files.Cert, Key: files.Key})
+	return process.Run(ctx)
 }
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -33,7 +33,7 @@
 			HostList: 5 * second, Watchers: 2,
 		},
 		Quota:   Quota{BasePercent: 50},
-		Usage:   Usage{Window: minute, Flush: 2 * second, Settle: 10 * second, Shards: 4, PageBytes: 900_000},
+		Usage:   Usage{Window: minute, Flush: 2 * second, Settle: 10 * second, Shards: 32, PageBytes: 900_000},
 		Routing: Routing{Policy: "predicted"},
 		Role: Role{
 			Mode:     "steady",
