route, node: even batches, and streams bounded by their observed pace

Change: each stream is charged 20 ms; an endpoint's streams are bounded by the pace that streams there see.

--- a/internal/node/capacity.go
+++ b/internal/node/capacity.go
@@ -37,7 +37,7 @@
 
 // capacities returns what this host may have in progress for each model. An
 // endpoint is shared by those hosts that have it in their subset.
-func capacities(view *snapshot.View, states map[string]*wire.AgentState, own map[string]route.Work, hosts int) map[string]queue.Capacity {
+func capacities(view *snapshot.View, states map[string]*wire.AgentState, own map[string]route.Candidate, hosts int) map[string]queue.Capacity {
 	byModel := make(map[string]*modelUse)
 	configured := make(map[string]int)
 	for _, e := range view.Endpoints() {
@@ -51,7 +51,7 @@
 			if byModel[model] == nil {
 				byModel[model] = &modelUse{}
 			}
-			byModel[model].add(pool, state, own[e.Name])
+			byModel[model].add(pool, state, own[e.Name].Own, own[e.Name].Gap)
 		}
 	}
 	shares := make(map[string]queue.Capacity, len(byModel))
@@ -63,7 +63,7 @@
 }
 
 // add counts one endpoint.
-func (u *modelUse) add(pool resource.PoolSpec, state *wire.AgentState, own route.Work) {
+func (u *modelUse) add(pool resource.PoolSpec, state *wire.AgentState, own route.Work, gap route.Gap) {
 	prefill := orDefault(pool.PrefillTokens, defaultPrefillTokens)
 	decode := orDefault(pool.DecodeTokens, defaultDecodeTokens)
 	u.seen++
@@ -71,7 +71,7 @@
 	u.total.DecodeRate += decode
 	u.total.PrefillTokens += int64(float64(prefill) * prefillBacklog)
 	u.total.Pieces += int64(state.TotalPieces)
-	u.total.Streams += max(1, int64(float64(decode)*betweenTokens.Seconds()))
+	u.total.Streams += streams(decode, state, gap)
 	u.used.PrefillTokens += state.WaitingPromptTokens
 	u.used.Pieces += int64(state.TotalPieces - state.FreePieces)
 	u.used.Streams += int64(state.Running + state.Waiting)
@@ -80,6 +80,25 @@
 	u.own.Streams += int64(own.Requests)
 }
 
+// The bound on an endpoint's streams follows the pace that they see: it lets in
+// one more for each stepPerStream below paceTarget, and fewer than run above it.
+const (
+	paceTarget    = betweenTokens * 98 / 100
+	stepPerStream = time.Millisecond
+	paceAge       = 2 * time.Second
+)
+
+// streams is how many streams an endpoint may have: at most what its pool
+// says, and what the observed time between tokens leaves room for.
+func streams(decode int64, state *wire.AgentState, gap route.Gap) int64 {
+	declared := max(1, int64(float64(decode)*betweenTokens.Seconds()))
+	if time.Since(gap.At) > paceAge {
+		return declared
+	}
+	room := int64((paceTarget - gap.Mean) / stepPerStream)
+	return min(declared, max(1, int64(state.Running)+room))
+}
+
 func orDefault(value, fallback int64) int64 {
 	if value > 0 {
 		return value
@@ -107,9 +126,9 @@
 
 func (e *Entry) updateCapacity() {
 	view := e.config.Current()
-	own := make(map[string]route.Work)
+	own := make(map[string]route.Candidate)
 	for _, c := range e.router.Candidates() {
-		own[c.Name] = c.Own
+		own[c.Name] = c
 	}
 	byModel := capacities(view, e.fleet.States(), own, len(e.directory.live()))
 	for model := range view.Models() {
--- a/internal/route/costs.go
+++ b/internal/route/costs.go
@@ -10,6 +10,9 @@
 	Step time.Duration
 	// StepPerStream is what each further generation adds to Step.
 	StepPerStream time.Duration
+	// StreamCost is what each stream at an endpoint is charged besides: it
+	// keeps batches even, against the pull of cached prefixes.
+	StreamCost time.Duration
 	// StepLimit is the time between tokens that callers are promised.
 	StepLimit time.Duration
 	// GapHalfLife is the age at which the observed time between tokens at an
@@ -47,6 +50,7 @@
 		PrefillPerToken:  100 * time.Microsecond,
 		Step:             20 * time.Millisecond,
 		StepPerStream:    time.Millisecond,
+		StreamCost:       20 * time.Millisecond,
 		StepLimit:        48 * time.Millisecond,
 		GapHalfLife:      2 * time.Second,
 		GapHeadroom:      0.9,
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -89,7 +89,7 @@
 	limit := time.Duration(float64(e.costs.StepLimit) * e.costs.GapHeadroom)
 	late := max(0, e.costs.Step+added-e.costs.StepLimit, e.gap(c)-limit)
 	tokens := time.Duration(min(e.req.MaxTokens, decodeHorizon))
-	return added + late*tokens
+	return added + streams*e.costs.StreamCost + late*tokens
 }
 
 // gap is the time between tokens that streams at c see, as far as it is recent.
