node, entry: latency histograms; a starting host reads the host list itself

Change: histograms first_token and call; for 30 s from its start a host reads the platform's list itself. Ruled out: waiting 3 s before slots are taken, which delays every start.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &generation{server: s, id: requestID(r), caller: caller, class: class, prompt: c.Prompt, exclude: make(map[string]struct{})}
+	g := &generation{server: s, id: requestID(r), begun: time.Now(), caller: caller, class: class, prompt: c.Prompt, exclude: make(map[string]struct{})}
 	if err := g.setModel(view, c, s.opts.Limits.PromptBytes); err != nil {
 		return nil, err
 	}
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -18,6 +18,7 @@
 type generation struct {
 	server *Server
 	id     string
+	begun  time.Time
 	caller Caller
 	class  queue.Class
 	ticket *queue.Ticket
@@ -197,6 +198,7 @@
 		}
 		if !prefilled {
 			prefilled = true
+			g.noteFirstToken()
 			flight.Prefilled()
 			g.ticket.Prefilled()
 		}
@@ -208,6 +210,13 @@
 	}
 }
 
+// noteFirstToken records the wait for the first token, once an answer.
+func (g *generation) noteFirstToken() {
+	if r := g.server.opts.Latencies.FirstToken; r != nil && g.delivered == 0 {
+		r.Record(time.Since(g.begun))
+	}
+}
+
 // nextWithin waits for the next message for at most the given time.
 func nextWithin(ctx context.Context, call *rpc.Call, wait time.Duration) (*wire.AgentMessage, error) {
 	m, err := call.NextWithin(ctx, wait)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -100,18 +100,31 @@
 	Call time.Duration
 }
 
+// Recorder takes latencies.
+type Recorder interface {
+	Record(d time.Duration)
+}
+
+// Latencies are where a server records how long callers wait. Each may be nil.
+type Latencies struct {
+	// FirstToken is from the start of a request to its first token, Call the
+	// whole time of a call of a plain service.
+	FirstToken, Call Recorder
+}
+
 // Options configure a Server.
 type Options struct {
-	Domain   string
-	Config   Config
-	Router   Router
-	Sessions Sessions
-	Quota    Quota
-	Queue    Queue
-	Claims   Claims
-	Usage    Usage
-	Limits   Limits
-	Timeouts Timeouts
+	Latencies Latencies
+	Domain    string
+	Config    Config
+	Router    Router
+	Sessions  Sessions
+	Quota     Quota
+	Queue     Queue
+	Claims    Claims
+	Usage     Usage
+	Limits    Limits
+	Timeouts  Timeouts
 	// Attempts bounds the endpoints tried for one request.
 	Attempts int
 	Log      *slog.Logger
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -69,11 +69,15 @@
 		header: header,
 		body:   body,
 	}
+	begun := time.Now()
 	answer, err := s.runCall(r.Context(), c, name, r.Header.Get("Idempotency-Key"))
 	if err != nil {
 		s.failCall(w, r, err)
 		return
 	}
+	if recorder := s.opts.Latencies.Call; recorder != nil {
+		recorder.Record(time.Since(begun))
+	}
 	s.writeAnswer(w, answer)
 }
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -81,13 +81,24 @@
 // MemberCount is the number of entry hosts that this one takes for live.
 func (e *Entry) MemberCount() int { return len(e.directory.live()) }
 
+// ownReads is how long after its start a host reads the platform's host list
+// itself: its membership table does not know all others yet.
+const ownReads = 30 * time.Second
+
 // listedHosts is the platform's host list as membership spreads it: the entry
 // hosts take turns in reading it, so that not each reads the whole list.
-type listedHosts struct{ table *member.Table }
+type listedHosts struct {
+	table   *member.Table
+	list    platform.HostList
+	started time.Time
+}
 
 // Hosts implements platform.HostList. A host counts as listed until both the
 // list has dropped it and it is silent.
-func (l listedHosts) Hosts(context.Context) ([]platform.Host, error) {
+func (l listedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+	if time.Since(l.started) < ownReads {
+		return l.list.Hosts(ctx)
+	}
 	var hosts []platform.Host
 	for _, m := range l.table.Entries(time.Now()) {
 		if m.State == member.Gone && m.Listed == member.Gone {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -187,6 +187,10 @@
 func (e *Entry) callerOptions() entry.Options {
 	s := e.settings
 	return entry.Options{
+		Latencies: entry.Latencies{
+			FirstToken: e.registry.NewHistogram("first_token"),
+			Call:       e.registry.NewHistogram("call"),
+		},
 		Domain:   s.Domain,
 		Config:   e.config,
 		Router:   e.router,
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/lease"
@@ -20,7 +21,7 @@
 		Host:        e.settings.Name,
 		Incarnation: e.incarnation,
 		Store:       e.store,
-		Hosts:       listedHosts{e.members},
+		Hosts:       listedHosts{table: e.members, list: e.hostList, started: time.Now()},
 		Fresh:       e.fresh,
 	})
 	settings := quota.DefaultSettings()
