entry: a stream may be resumed after each loss

Cause: read in the whole change: the time in which a broken answer may go on elsewhere was set at the first loss and never again, so a stream that survived one loss broke at a second one later than that. Change: a loss after further tokens has the whole time again; the pause is platform.Pause in place of a copy. Ruled out: counting from the last token, since an endpoint is only known to be silent after that same time. Measured: TestStreamSurvivesASecondLossLongAfterTheFirst: unexpected EOF before, all 1,500 tokens once after; go test -race -count=2 ./internal/entry green. Conclusion: the number of losses no longer matters, only the time without a token.

--- a/internal/entry/completion_test.go
+++ b/internal/entry/completion_test.go
@@ -154,3 +154,28 @@
 	is.True(got.error != "")
 	is.Equal(s.server.Stats().Truncated.Load(), int64(1))
 }
+
+// TestStreamSurvivesASecondLossLongAfterTheFirst loses two endpoints further
+// apart than a caller may go without a token.
+func TestStreamSurvivesASecondLossLongAfterTheFirst(t *testing.T) {
+	is := is.New(t)
+	engines := map[string]*engine.Engine{"engine-1": newEngine(3 * time.Millisecond), "engine-2": newEngine(3 * time.Millisecond)}
+	s := newSite(t, map[string]agent.Options{"engine-1": {Engine: engines["engine-1"]}, "engine-2": {Engine: engines["engine-2"]}})
+	go func() {
+		for s.server.Stats().Tokens.Load() < 50 {
+			time.Sleep(time.Millisecond)
+		}
+		first := engines[busiest(s)]
+		first.SetFaults(engine.Faults{Crashed: true})
+		time.Sleep(2500 * time.Millisecond)
+		first.SetFaults(engine.Faults{})
+		time.Sleep(100 * time.Millisecond)
+		engines[busiest(s)].SetFaults(engine.Faults{Crashed: true})
+	}()
+	a := s.post(t, "/v1/chat/completions", testKey, chatBody("twice", 1500, true))
+	is.NoErr(a.err)
+	got := parseStream(t, a.body)
+	is.True(got.done)
+	is.Equal(got.text, engine.ExpectedText(testModel, "", promptOf("twice"), 1500))
+	is.True(s.server.Stats().Resumed.Load() >= 2)
+}
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
@@ -74,6 +75,7 @@
 	g.server.retry.earn()
 	var last error
 	var resumeUntil time.Time
+	resumedAt := 0
 	for attempt := 1; ; attempt++ {
 		flight, err := g.pick(ctx)
 		if err == nil {
@@ -84,7 +86,9 @@
 		}
 		last = firstOf(last, err)
 		if g.delivered > 0 {
-			if resumeUntil.IsZero() {
+			if g.delivered > resumedAt {
+				// Each loss after further tokens has the whole time again.
+				resumedAt = g.delivered
 				resumeUntil = time.Now().Add(g.server.opts.Timeouts.BetweenTokens)
 			}
 			if !g.mayResume(ctx, err, resumeUntil) {
@@ -110,14 +114,7 @@
 		return true
 	}
 	clear(g.exclude)
-	timer := time.NewTimer(resumePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return platform.Pause(ctx, resumePause)
 }
 
 // firstOf keeps the error that says most: the first that is not a mere lack
