--- a/cmd/acacialink/standin.go
+++ b/cmd/acacialink/standin.go
@@ -6,8 +6,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/exit"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/standin"
 )
 
@@ -19,7 +19,7 @@
 	command.Flag("name", "Name of an engine or a service.").StringVar(&o.Name)
 	command.Flag("model", "Model that an engine has loaded; may be repeated.").StringsVar(&o.Models)
 	command.Flag("adapter", "Adapter (MODEL/ADAPTER) that an engine has loaded; may be repeated.").StringsVar(&o.Adapters)
-	command.Flag("role", "Role of an engine.").Default(string(platform.RoleMixed)).StringVar((*string)(&o.Role))
+	command.Flag("role", "Role of an engine.").Default(string(backing.RoleMixed)).StringVar((*string)(&o.Role))
 	command.Flag("checks-fencing", "Refuse old fencing numbers.").BoolVar(&o.ChecksFencing)
 	command.Flag("writes", "Writes a second of the store, 0 for no limit.").Float64Var(&o.WritesPerSecond)
 	command.Flag("reads", "Reads a second of the store, 0 for no limit.").Float64Var(&o.ReadsPerSecond)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -21,8 +21,8 @@
 	Endpoint, Domain string
 	// Incarnation differs for each start of the process.
 	Incarnation string
-	Engine      platform.Engine
-	Service     platform.Service
+	Engine      backing.Engine
+	Service     backing.Service
 	// KV fetches KV caches from other agents; nil refuses to.
 	KV KVSource
 	// Orders decides about orders; nil refuses all.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,26 +10,26 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
 // loadEngine answers load reports, or fails to.
 type loadEngine struct {
-	platform.Engine
+	backing.Engine
 	down atomic.Bool
 }
 
-func (e *loadEngine) Load(context.Context) (platform.EngineLoad, error) {
+func (e *loadEngine) Load(context.Context) (backing.EngineLoad, error) {
 	if e.down.Load() {
-		return platform.EngineLoad{}, platform.ErrUnavailable
+		return backing.EngineLoad{}, backing.ErrUnavailable
 	}
-	return platform.EngineLoad{Ready: true, Models: []string{"m"}}, nil
+	return backing.EngineLoad{Ready: true, Models: []string{"m"}}, nil
 }
 
-func (e *loadEngine) CacheEvents(_ context.Context, after uint64) ([]platform.CacheEvent, error) {
-	return []platform.CacheEvent{{Sequence: after + 1, Prefix: 1}}, nil
+func (e *loadEngine) CacheEvents(_ context.Context, after uint64) ([]backing.CacheEvent, error) {
+	return []backing.CacheEvent{{Sequence: after + 1, Prefix: 1}}, nil
 }
 
 func TestSilentEngineIsNotReady(t *testing.T) {
@@ -95,9 +95,9 @@
 
 func TestEndpointErrorsKeepTheirVerdict(t *testing.T) {
 	is := is.New(t)
-	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrUnavailable, "dial"))), verdict.NotRun)
-	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrRejected, "full"))), verdict.NotRun)
-	is.Equal(verdict.Of(endpointError(errors.Wrap(platform.ErrUnknown, "cut"))), verdict.MayHaveRun)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(backing.ErrUnavailable, "dial"))), verdict.NotRun)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(backing.ErrRejected, "full"))), verdict.NotRun)
+	is.Equal(verdict.Of(endpointError(errors.Wrap(backing.ErrUnknown, "cut"))), verdict.MayHaveRun)
 	is.Equal(verdict.Of(endpointError(errors.New("anything else"))), verdict.MayHaveRun)
 }
 
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -40,12 +40,12 @@
 	}}})
 }
 
-func serviceRequest(id string, c *wire.CallRequest) platform.ServiceRequest {
+func serviceRequest(id string, c *wire.CallRequest) backing.ServiceRequest {
 	header := make(map[string][]string, len(c.Headers))
 	for _, h := range c.Headers {
 		header[h.Name] = h.Values
 	}
-	return platform.ServiceRequest{
+	return backing.ServiceRequest{
 		ID:         id,
 		Method:     c.Method,
 		Path:       c.Path,
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -20,7 +20,7 @@
 		return
 	}
 	a.stats.Generations.Add(1)
-	finish, err := a.opts.Engine.Generate(ctx, generation(id, g), func(t platform.Token) error {
+	finish, err := a.opts.Engine.Generate(ctx, generation(id, g), func(t backing.Token) error {
 		a.stats.Tokens.Add(1)
 		return sendToken(r, t)
 	})
@@ -40,7 +40,7 @@
 	}}})
 }
 
-func sendToken(r *rpc.Responder, t platform.Token) error {
+func sendToken(r *rpc.Responder, t backing.Token) error {
 	sent := r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{
 		First: int32(t.Index),
 		Texts: []string{t.Text},
@@ -59,8 +59,8 @@
 	_ = a.opts.Engine.Cancel(ctx, id)
 }
 
-func generation(id string, g *wire.GenerateRequest) platform.Generation {
-	return platform.Generation{
+func generation(id string, g *wire.GenerateRequest) backing.Generation {
+	return backing.Generation{
 		ID:          id,
 		Model:       g.Model,
 		Adapter:     g.Adapter,
--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -39,11 +39,11 @@
 
 func endpointError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_unavailable", "the endpoint cannot be reached")
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, backing.ErrRejected):
 		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_rejected", "the endpoint refused the request")
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		return verdict.Wrap(err, verdict.NotRun, 503, "endpoint_not_found", "the endpoint does not know what was asked for")
 	default:
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "endpoint_lost", "the answer of the endpoint was lost")
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -6,12 +6,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
 // someEngine makes an agent one of an engine.
-type someEngine struct{ platform.Engine }
+type someEngine struct{ backing.Engine }
 
 // BenchmarkState measures a state message of an engine's agent, which goes
 // with each heartbeat of each session: its bytes, and the time to make, encode
@@ -20,11 +20,11 @@
 	for _, n := range []int{0, 16, DefaultCacheEvents} {
 		b.Run(fmt.Sprintf("events=%d", n), func(b *testing.B) {
 			a := New(Options{Endpoint: "engine-1234", Domain: "domain-12", Incarnation: "0123456789abcdef", Engine: someEngine{}})
-			events := make([]platform.CacheEvent, n)
+			events := make([]backing.CacheEvent, n)
 			for i := range events {
-				events[i] = platform.CacheEvent{Sequence: uint64(1_000_000 + i), Prefix: uint64(i+1) * 0x9e3779b97f4a7c15}
+				events[i] = backing.CacheEvent{Sequence: uint64(1_000_000 + i), Prefix: uint64(i+1) * 0x9e3779b97f4a7c15}
 			}
-			a.keep(platform.EngineLoad{
+			a.keep(backing.EngineLoad{
 				Ready: true, Role: "mixed", Models: []string{"model-12"}, Adapters: []string{"model-12/adapter-1"},
 				Running: 32, Waiting: 4, WaitingPromptTokens: 20_000, FreePieces: 300, TotalPieces: 1000,
 			}, events)
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -5,15 +5,15 @@
 	"math"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
 // report is the last that was heard from the engine.
 type report struct {
-	load     platform.EngineLoad
+	load     backing.EngineLoad
 	received time.Time
-	events   []platform.CacheEvent
+	events   []backing.CacheEvent
 	sequence uint64
 }
 
@@ -121,7 +121,7 @@
 }
 
 // keep stores the report and says whether entry processes must hear of it at once.
-func (a *Agent) keep(load platform.EngineLoad, events []platform.CacheEvent) bool {
+func (a *Agent) keep(load backing.EngineLoad, events []backing.CacheEvent) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before := a.readyLocked()
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/audit"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/acacialink/acacialink/internal/standin/hostlist"
 	"github.com/acacialink/acacialink/internal/standin/provider"
@@ -62,27 +62,27 @@
 	r.Provider = provider.Record{Orders: []provider.Order{providerOrder(3, "e1", 3), providerOrder(4, "e2", 4)}}
 	r.Usage = []usagesink.Report{usage("1", 3, "e1"), usage("1", 4, "e2")}
 	r.Hosts = []hostlist.Change{{
-		At: at(0), Host: platform.Host{Name: "s1", State: platform.HostLeaving},
+		At: at(0), Host: backing.Host{Name: "s1", State: backing.HostLeaving},
 	}}
 	return r
 }
 
 func order(id string, fence int64, issuer string, from time.Time, highest int64) engine.OrderRecord {
 	return engine.OrderRecord{
-		Order: platform.Order{ID: id, Fence: fence, Issuer: issuer},
+		Order: backing.Order{ID: id, Fence: fence, Issuer: issuer},
 		Start: from, End: from.Add(time.Second), Result: "done", HighestFence: highest,
 	}
 }
 
 func providerOrder(fence int64, issuer string, highest int64) provider.Order {
 	return provider.Order{
-		EndpointOrder: platform.EndpointOrder{Fence: fence, Issuer: issuer},
+		EndpointOrder: backing.EndpointOrder{Fence: fence, Issuer: issuer},
 		Result:        "done", HighestFence: highest,
 	}
 }
 
 func usage(body string, fence int64, issuer string) usagesink.Report {
-	return usagesink.Report{UsageReport: platform.UsageReport{
+	return usagesink.Report{UsageReport: backing.UsageReport{
 		Window: "w", Fence: fence, Issuer: issuer, Body: []byte(body),
 	}}
 }
--- a/internal/audit/bad_records_test.go
+++ b/internal/audit/bad_records_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/acacialink/acacialink/internal/audit"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/acacialink/acacialink/internal/standin/hostlist"
 	"github.com/acacialink/acacialink/internal/standin/service"
@@ -78,7 +78,7 @@
 	}},
 	{"work while leaving", audit.Leaving, func(r *audit.Record) { r.Services[0].Calls[0].At = at(5.1) }},
 	{"work after removal", audit.Leaving, func(r *audit.Record) {
-		gone := hostlist.Change{At: at(1), Host: platform.Host{Name: "m1"}, Removed: true}
+		gone := hostlist.Change{At: at(1), Host: backing.Host{Name: "m1"}, Removed: true}
 		r.Hosts = append(r.Hosts, gone)
 		r.Engines[0].Generations[0].Start = at(7)
 	}},
--- a/internal/audit/leaving.go
+++ b/internal/audit/leaving.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/hostlist"
 )
 
@@ -42,7 +42,7 @@
 		if c.Name != endpoint || c.At.After(at) {
 			continue
 		}
-		now := c.Removed || c.State == platform.HostLeaving
+		now := c.Removed || c.State == backing.HostLeaving
 		if now && !leaving {
 			since = c.At
 		}
--- a/internal/audit/planned_changes.go
+++ b/internal/audit/planned_changes.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // checkPlannedChanges looks for requests that were cut while a role or model
@@ -11,7 +11,7 @@
 func checkPlannedChanges(rep *report, r *Record, _ Bounds) {
 	windows := orderWindows(r)
 	for _, c := range r.Hosts {
-		if c.State == platform.HostLeaving && !c.Removed {
+		if c.State == backing.HostLeaving && !c.Removed {
 			windows = append(windows, Window{Start: c.At, End: removedAt(r, c.Name, c.At)})
 		}
 	}
--- a/internal/platform/engine_wire.go
+++ b/internal/backing/engine_wire.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // GenerateLine is one line of a streamed generation. A line without a field
 // is a heartbeat. The last line holds Finish or Error; a stream without one is
--- a/internal/platform/platform.go
+++ b/internal/backing/errors.go
@@ -1,8 +1,8 @@
-// Package platform declares what acacialink needs of the platform around it:
+// Package backing declares what acacialink needs of the platform around it:
 // the key-value store, model engines, plain services, the ordering of
 // endpoints, usage reports, the host list and the weight store. Each interface
 // has one adapter in this package, and only the adapter knows a wire format.
-package platform
+package backing
 
 import "github.com/pkg/errors"
 
--- a/internal/platform/generate_http_test.go
+++ b/internal/backing/generate_http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 )
@@ -23,12 +23,12 @@
 		tokens       int
 	}{
 		{"whole", token("0") + "{}\n" + token("1") + finish, nil, 2},
-		{"no end", token("0"), platform.ErrUnknown, 1},
-		{"half a line", token("0") + `{"finish":{"Rea`, platform.ErrUnknown, 1},
-		{"lost token", token("0") + token("2") + finish, platform.ErrUnknown, 1},
-		{"repeated token", token("0") + token("0") + finish, platform.ErrUnknown, 1},
-		{"not started", `{"error":{"error":"unavailable"}}` + "\n", platform.ErrUnavailable, 0},
-		{"failed later", token("0") + `{"error":{"error":"unavailable"}}` + "\n", platform.ErrUnknown, 1},
+		{"no end", token("0"), backing.ErrUnknown, 1},
+		{"half a line", token("0") + `{"finish":{"Rea`, backing.ErrUnknown, 1},
+		{"lost token", token("0") + token("2") + finish, backing.ErrUnknown, 1},
+		{"repeated token", token("0") + token("0") + finish, backing.ErrUnknown, 1},
+		{"not started", `{"error":{"error":"unavailable"}}` + "\n", backing.ErrUnavailable, 0},
+		{"failed later", token("0") + `{"error":{"error":"unavailable"}}` + "\n", backing.ErrUnknown, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -38,8 +38,8 @@
 			}))
 			defer server.Close()
 			got := 0
-			engine := platform.NewHTTPEngine(server.URL, nil)
-			_, err := engine.Generate(t.Context(), platform.Generation{}, func(platform.Token) error {
+			engine := backing.NewHTTPEngine(server.URL, nil)
+			_, err := engine.Generate(t.Context(), backing.Generation{}, func(backing.Token) error {
 				got++
 				return nil
 			})
@@ -63,13 +63,13 @@
 		}()
 		dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
 		client := &http.Client{Transport: &http.Transport{DialContext: dial}}
-		engine := platform.NewHTTPEngine("http://10.0.0.1", client)
+		engine := backing.NewHTTPEngine("http://10.0.0.1", client)
 		var text strings.Builder
-		_, err := engine.Generate(t.Context(), platform.Generation{}, func(token platform.Token) error {
+		_, err := engine.Generate(t.Context(), backing.Generation{}, func(token backing.Token) error {
 			text.WriteString(token.Text)
 			return nil
 		})
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, backing.ErrUnknown))
 		is.Equal(text.String(), "a")
 	})
 }
--- a/internal/platform/service_bench_test.go
+++ b/internal/backing/service_bench_test.go
@@ -1,11 +1,11 @@
-package platform_test
+package backing_test
 
 import (
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // BenchmarkServiceCall compares a call on a reused connection with an
@@ -15,11 +15,11 @@
 		_, _ = w.Write([]byte("ok"))
 	}))
 	defer server.Close()
-	service := platform.NewHTTPService(server.URL, nil)
+	service := backing.NewHTTPService(server.URL, nil)
 	for name, idempotent := range map[string]bool{"reused": true, "fresh": false} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				_, err := service.Call(b.Context(), platform.ServiceRequest{
+				_, err := service.Call(b.Context(), backing.ServiceRequest{
 					Method: http.MethodPost, Path: "/", Body: []byte("body"), Idempotent: idempotent,
 				})
 				if err != nil {
--- a/internal/platform/service_http.go
+++ b/internal/backing/service_http.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
--- a/internal/platform/service_http_test.go
+++ b/internal/backing/service_http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 )
@@ -54,8 +54,8 @@
 	}
 }
 
-func payment(id string) platform.ServiceRequest {
-	return platform.ServiceRequest{
+func payment(id string) backing.ServiceRequest {
+	return backing.ServiceRequest{
 		ID: id, Method: http.MethodPost, Path: "/payments",
 		Header: map[string][]string{"Idempotency-Key": {"k"}},
 	}
@@ -80,7 +80,7 @@
 func TestAtMostOnceCallIsSentOnce(t *testing.T) {
 	is := is.New(t)
 	base, received := closingServer(t)
-	service := platform.NewHTTPService(base, nil)
+	service := backing.NewHTTPService(base, nil)
 	const calls = 5
 	for range calls {
 		_, err := service.Call(t.Context(), payment("r"))
@@ -109,13 +109,13 @@
 		runs.Add(1)
 		answers[r.URL.Path](w)
 	}))
-	service := platform.NewHTTPService(server.URL, nil)
+	service := backing.NewHTTPService(server.URL, nil)
 	request := payment("r1")
 	request.Header["authorization"] = []string{"Bearer secret"}
 	for _, path := range []string{"/cut", "/none"} {
 		request.Path = path
 		_, err := service.Call(t.Context(), request)
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, backing.ErrUnknown))
 	}
 	request.Path = "/redirect"
 	resp, err := service.Call(t.Context(), request)
@@ -129,8 +129,8 @@
 	}
 	server.Close()
 	_, err = service.Call(t.Context(), request)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, backing.ErrUnavailable))
 	request.Path = "@127.0.0.1/"
 	_, err = service.Call(t.Context(), request)
-	is.True(errors.Is(err, platform.ErrRejected))
+	is.True(errors.Is(err, backing.ErrRejected))
 }
--- a/internal/platform/usertimeout_other.go
+++ b/internal/backing/usertimeout_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package platform
+package backing
 
 import "syscall"
 
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/role"
 )
 
@@ -18,7 +18,7 @@
 		list = append(list, role.Engine{
 			Name:                e.Name,
 			Incarnation:         e.state.Incarnation,
-			Role:                platform.Role(e.state.Role),
+			Role:                backing.Role(e.state.Role),
 			Ready:               e.state.Ready && e.state.OrderInFlight == "",
 			Draining:            e.state.Draining || e.Spec.Draining,
 			At:                  e.at,
--- a/internal/control/mover.go
+++ b/internal/control/mover.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
@@ -18,7 +18,7 @@
 	view     *snapshot.View
 	pool     string
 	fence    int64
-	provided map[string]platform.ProvidedEndpoint
+	provided map[string]backing.ProvidedEndpoint
 	states   []described
 }
 
@@ -42,14 +42,14 @@
 
 // order places the order; the platform takes it once however often it is sent.
 func (m *mover) order(ctx context.Context, o poolOrder) (stage, bool, error) {
-	_, err := m.pools.opts.Provider.Order(ctx, platform.EndpointOrder{
+	_, err := m.pools.opts.Provider.Order(ctx, backing.EndpointOrder{
 		ID:     o.ID,
 		Fence:  m.fence,
 		Domain: o.Domain,
 		Pool:   m.pool,
 		Issuer: m.pools.opts.Host,
 	})
-	if errors.Is(err, platform.ErrRejected) {
+	if errors.Is(err, backing.ErrRejected) {
 		return o.Stage, false, nil
 	}
 	if err != nil {
@@ -65,17 +65,17 @@
 		return o.Stage, true, nil
 	}
 	switch e.State {
-	case platform.ProvidedRunning:
+	case backing.ProvidedRunning:
 		return stageRunning, true, m.declare(ctx, o, e)
-	case platform.ProvidedWithdrawn, platform.ProvidedReturned:
+	case backing.ProvidedWithdrawn, backing.ProvidedReturned:
 		return stageDraining, true, nil
-	case platform.ProvidedStarting:
+	case backing.ProvidedStarting:
 	}
 	return o.Stage, true, nil
 }
 
 func (m *mover) watch(o poolOrder) (stage, bool, error) {
-	if e, ok := m.provided[o.ID]; ok && e.State != platform.ProvidedRunning {
+	if e, ok := m.provided[o.ID]; ok && e.State != backing.ProvidedRunning {
 		return stageDraining, true, nil
 	}
 	return o.Stage, true, nil
@@ -110,7 +110,7 @@
 		}
 	}
 	e, ok := m.provided[endpoint]
-	return ok && e.State == platform.ProvidedRunning
+	return ok && e.State == backing.ProvidedRunning
 }
 
 // giveBack removes the endpoint from the configuration and returns it.
@@ -119,14 +119,14 @@
 		return o.Stage, true, err
 	}
 	err := m.pools.opts.Provider.Return(ctx, o.ID, m.fence, m.pools.opts.Host)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, backing.ErrNotFound) {
 		return o.Stage, true, errors.Wrap(err, "return endpoint")
 	}
 	return o.Stage, false, nil
 }
 
 // declare adds the endpoint to the configuration.
-func (m *mover) declare(ctx context.Context, o poolOrder, e platform.ProvidedEndpoint) error {
+func (m *mover) declare(ctx context.Context, o poolOrder, e backing.ProvidedEndpoint) error {
 	return m.put(ctx, o.ID, resource.EndpointSpec{
 		Kind:   resource.EndpointEngine,
 		Domain: o.Domain,
--- a/internal/control/pools.go
+++ b/internal/control/pools.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/pool"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -25,8 +25,8 @@
 	Leases   Leases
 	Config   Config
 	Agents   Agents
-	Provider platform.Provider
-	Store    platform.Store
+	Provider backing.Provider
+	Store    backing.Store
 	Settings pool.Settings
 	Interval time.Duration
 	Log      *slog.Logger
@@ -116,12 +116,12 @@
 	return p.decide(ctx, view, w, states)
 }
 
-func (p *Pools) provided(ctx context.Context, name string) (map[string]platform.ProvidedEndpoint, error) {
+func (p *Pools) provided(ctx context.Context, name string) (map[string]backing.ProvidedEndpoint, error) {
 	list, err := p.opts.Provider.Provided(ctx, name)
 	if err != nil {
 		return nil, err
 	}
-	byID := make(map[string]platform.ProvidedEndpoint, len(list))
+	byID := make(map[string]backing.ProvidedEndpoint, len(list))
 	for _, e := range list {
 		byID[e.OrderID] = e
 	}
@@ -130,7 +130,7 @@
 
 // moveOrders brings every order one stage on where it can go on, and writes
 // the stages together.
-func (p *Pools) moveOrders(ctx context.Context, view *snapshot.View, w *poolWork, provided map[string]platform.ProvidedEndpoint, states []described) error {
+func (p *Pools) moveOrders(ctx context.Context, view *snapshot.View, w *poolWork, provided map[string]backing.ProvidedEndpoint, states []described) error {
 	next := w.orders.Value().clone()
 	next.Orders = next.Orders[:0]
 	changed := false
--- a/internal/control/pools_test.go
+++ b/internal/control/pools_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/pool"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/resource"
@@ -43,10 +43,10 @@
 	site *site
 }
 
-func (l lossy) Order(ctx context.Context, o platform.EndpointOrder) (platform.ProvidedEndpoint, error) {
+func (l lossy) Order(ctx context.Context, o backing.EndpointOrder) (backing.ProvidedEndpoint, error) {
 	e, err := l.Provider.Order(ctx, o)
 	if l.site.lose() {
-		return platform.ProvidedEndpoint{}, platform.ErrUnknown
+		return backing.ProvidedEndpoint{}, backing.ErrUnknown
 	}
 	return e, err
 }
@@ -54,7 +54,7 @@
 func (l lossy) Return(ctx context.Context, id string, fence int64, issuer string) error {
 	err := l.Provider.Return(ctx, id, fence, issuer)
 	if l.site.lose() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return err
 }
@@ -132,7 +132,7 @@
 	}
 	running := make(map[string]bool)
 	for _, e := range list {
-		if e.State == platform.ProvidedRunning || e.State == platform.ProvidedStarting {
+		if e.State == backing.ProvidedRunning || e.State == backing.ProvidedStarting {
 			running[e.OrderID] = true
 		}
 	}
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/role"
 	"github.com/acacialink/acacialink/internal/snapshot"
 )
@@ -26,8 +26,8 @@
 	Fence int64
 	// Endpoint names the engine, Agent is its agent's address.
 	Endpoint, Agent string
-	Kind            platform.OrderKind
-	Role            platform.Role
+	Kind            backing.OrderKind
+	Role            backing.Role
 	Model, Adapter  string
 }
 
@@ -134,7 +134,7 @@
 			Fence:    w.fence,
 			Endpoint: change.Engine,
 			Agent:    agentOf(engines, change.Engine),
-			Kind:     platform.OrderSetRole,
+			Kind:     backing.OrderSetRole,
 			Role:     change.Role,
 		}, change.Reason)
 	}
@@ -165,7 +165,7 @@
 		}
 		o := EngineOrder{Piece: piece, Fence: w.fence, Endpoint: e.Name, Agent: e.Spec.Agent, Model: model}
 		if !slices.Contains(e.state.Models, model) {
-			o.Kind = platform.OrderLoadModel
+			o.Kind = backing.OrderLoadModel
 			r.give(ctx, w, o, "the model is not loaded")
 			return true
 		}
@@ -173,7 +173,7 @@
 			if slices.Contains(e.state.Adapters, model+"/"+adapter.Name) {
 				continue
 			}
-			o.Kind, o.Adapter = platform.OrderLoadAdapter, adapter.Name
+			o.Kind, o.Adapter = backing.OrderLoadAdapter, adapter.Name
 			r.give(ctx, w, o, "the adapter is not loaded")
 			return true
 		}
--- a/internal/demo/experiment.go
+++ b/internal/demo/experiment.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/exit"
 	"github.com/acacialink/acacialink/internal/opsclient"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/replay"
 	"github.com/acacialink/acacialink/internal/settings"
 )
@@ -96,7 +96,7 @@
 		for _, e := range s.Deployment.Engines {
 			f.EndpointSeconds += time.Since(since).Seconds()
 			for _, o := range e.Standin.Record().Orders {
-				if o.Kind == platform.OrderSetRole && !o.Repeat && o.Start.After(since) {
+				if o.Kind == backing.OrderSetRole && !o.Repeat && o.Start.After(since) {
 					f.RoleChanges++
 				}
 			}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/node"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/settings"
 	"github.com/acacialink/acacialink/internal/standin"
@@ -103,7 +103,7 @@
 	}
 	s.Entries = append(s.Entries, e)
 	s.running = append(s.running, &runningEntry{settings: o, source: source, log: log, entry: e})
-	s.Deployment.HostList.Standin.Set(platform.Host{Name: o.Name, Domain: domain, State: platform.HostLive, Address: e.PeerAddr()})
+	s.Deployment.HostList.Standin.Set(backing.Host{Name: o.Name, Domain: domain, State: backing.HostLive, Address: e.PeerAddr()})
 	return nil
 }
 
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -15,33 +15,33 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/acacialink/acacialink/internal/agent"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // burstEngine emits tokens as fast as they are taken.
-type burstEngine struct{ platform.Engine }
+type burstEngine struct{ backing.Engine }
 
-func (burstEngine) Load(context.Context) (platform.EngineLoad, error) {
-	return platform.EngineLoad{Role: platform.RoleMixed, Models: []string{testModel}, TotalPieces: 1 << 20, FreePieces: 1 << 20, Ready: true}, nil
+func (burstEngine) Load(context.Context) (backing.EngineLoad, error) {
+	return backing.EngineLoad{Role: backing.RoleMixed, Models: []string{testModel}, TotalPieces: 1 << 20, FreePieces: 1 << 20, Ready: true}, nil
 }
 
-func (burstEngine) CacheEvents(context.Context, uint64) ([]platform.CacheEvent, error) {
+func (burstEngine) CacheEvents(context.Context, uint64) ([]backing.CacheEvent, error) {
 	return nil, nil
 }
 
 // burstStep is the time between two tokens of a stream.
 const burstStep = 2 * time.Millisecond
 
-func (burstEngine) Generate(ctx context.Context, g platform.Generation, emit func(platform.Token) error) (platform.Finish, error) {
+func (burstEngine) Generate(ctx context.Context, g backing.Generation, emit func(backing.Token) error) (backing.Finish, error) {
 	ticker := time.NewTicker(burstStep)
 	defer ticker.Stop()
 	for i := g.Resume; i < g.MaxTokens; i++ {
 		<-ticker.C
-		if err := emit(platform.Token{Index: i, Text: " token"}); err != nil {
-			return platform.Finish{}, err
+		if err := emit(backing.Token{Index: i, Text: " token"}); err != nil {
+			return backing.Finish{}, err
 		}
 	}
-	return platform.Finish{Reason: "length", PromptTokens: 1, OutputTokens: g.MaxTokens}, ctx.Err()
+	return backing.Finish{Reason: "length", PromptTokens: 1, OutputTokens: g.MaxTokens}, ctx.Err()
 }
 
 func okService() *httptest.Server {
@@ -85,7 +85,7 @@
 func BenchmarkCall(b *testing.B) {
 	server := okService()
 	defer server.Close()
-	s := newSite(b, map[string]agent.Options{"orders-1": {Service: platform.NewHTTPService(server.URL, nil)}})
+	s := newSite(b, map[string]agent.Options{"orders-1": {Service: backing.NewHTTPService(server.URL, nil)}})
 	callTimes(b, s.url+"/status/1", testKey)
 }
 
@@ -94,7 +94,7 @@
 func BenchmarkCallParallel(b *testing.B) {
 	server := okService()
 	defer server.Close()
-	s := newSite(b, map[string]agent.Options{"orders-1": {Service: platform.NewHTTPService(server.URL, nil)}})
+	s := newSite(b, map[string]agent.Options{"orders-1": {Service: backing.NewHTTPService(server.URL, nil)}})
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	b.SetParallelism(8)
 	b.ReportAllocs()
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/route"
@@ -72,7 +72,7 @@
 	if !ok || !mayUse(g.caller.Spec, g.model) || !hasAdapter(spec, g.adapter) {
 		return verdict.New(verdict.NotRun, http.StatusNotFound, "unknown_model", "there is no such model for this workspace")
 	}
-	g.promptTokens = platform.Tokens(g.prompt)
+	g.promptTokens = backing.Tokens(g.prompt)
 	if int64(len(g.prompt)) > promptBytes || g.promptTokens > spec.MaxPromptTokens {
 		return badRequest("prompt_too_long", "the prompt is longer than the model takes")
 	}
@@ -133,7 +133,7 @@
 // routeRequest is what the router needs to know of the generation.
 func (g *generation) routeRequest() *route.Request {
 	if g.prefix == nil {
-		g.prefix = platform.PrefixHashes(g.model, g.prompt)
+		g.prefix = backing.PrefixHashes(g.model, g.prompt)
 	}
 	return &route.Request{
 		Model:        g.model,
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
@@ -114,7 +114,7 @@
 		return true
 	}
 	clear(g.exclude)
-	return platform.Pause(ctx, resumePause)
+	return backing.Pause(ctx, resumePause)
 }
 
 // firstOf keeps the error that says most: the first that is not a mere lack
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/acacialink/acacialink/internal/agent"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/service"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -21,7 +21,7 @@
 	orders := service.New(service.Options{Name: "orders-1"})
 	server := httptest.NewServer(orders.Handler())
 	t.Cleanup(server.Close)
-	s := newSite(t, map[string]agent.Options{"orders-1": {Service: platform.NewHTTPService(server.URL, nil)}})
+	s := newSite(t, map[string]agent.Options{"orders-1": {Service: backing.NewHTTPService(server.URL, nil)}})
 	return s, orders
 }
 
@@ -82,7 +82,7 @@
 			orders := service.New(service.Options{Name: "orders-1"})
 			server := httptest.NewServer(orders.Handler())
 			defer server.Close()
-			s := newSite(t, map[string]agent.Options{"orders-1": {Service: platform.NewHTTPService(server.URL, nil)}})
+			s := newSite(t, map[string]agent.Options{"orders-1": {Service: backing.NewHTTPService(server.URL, nil)}})
 			orders.SetFault(fault)
 			if fault == (service.Fault{}) {
 				server.Close()
@@ -111,10 +111,10 @@
 	is := is.New(t)
 	hold := make(chan struct{})
 	begun := make(chan struct{}, 1)
-	held := serviceFunc(func(context.Context) (platform.ServiceResponse, error) {
+	held := serviceFunc(func(context.Context) (backing.ServiceResponse, error) {
 		begun <- struct{}{}
 		<-hold
-		return platform.ServiceResponse{Status: 200}, nil
+		return backing.ServiceResponse{Status: 200}, nil
 	})
 	s := newSite(t, map[string]agent.Options{"orders-1": {Service: held}})
 	go func() {
@@ -127,9 +127,9 @@
 	is.Equal(a.header.Get(verdict.Header), "may-have-run")
 }
 
-type serviceFunc func(context.Context) (platform.ServiceResponse, error)
+type serviceFunc func(context.Context) (backing.ServiceResponse, error)
 
-func (f serviceFunc) Call(ctx context.Context, _ platform.ServiceRequest) (platform.ServiceResponse, error) {
+func (f serviceFunc) Call(ctx context.Context, _ backing.ServiceRequest) (backing.ServiceResponse, error) {
 	return f(ctx)
 }
 
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -20,10 +20,10 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/acacialink/acacialink/internal/agent"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/fleet"
 	"github.com/acacialink/acacialink/internal/once"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/route"
@@ -319,4 +319,4 @@
 	return string(body)
 }
 
-var _ platform.Engine = (*engine.Engine)(nil)
+var _ backing.Engine = (*engine.Engine)(nil)
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/acacialink/acacialink/internal/agent"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 )
@@ -17,7 +17,7 @@
 func newSplitSite(t *testing.T, maxBytes int) *site {
 	t.Helper()
 	kv := &rpc.KVFetcher{Dialer: func(string) *rpc.Dialer { return rpc.NewDialer(nil, rpc.Options{}) }, MaxBytes: maxBytes}
-	roles := map[string]platform.Role{"engine-1": platform.RolePrefill, "engine-2": platform.RoleDecode}
+	roles := map[string]backing.Role{"engine-1": backing.RolePrefill, "engine-2": backing.RoleDecode}
 	agents := make(map[string]agent.Options)
 	for name, role := range roles {
 		agents[name] = agent.Options{KV: kv, Engine: engine.New(engine.Options{
--- a/internal/lease/directory.go
+++ b/internal/lease/directory.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Directory knows who holds which piece, from one waiting watch of the store.
 // In an outage it keeps what it last knew. It is safe for concurrent use.
 type Directory struct {
-	store platform.Store
+	store backing.Store
 
 	mu      sync.Mutex
 	holders map[string]Holder
@@ -29,7 +29,7 @@
 }
 
 // NewDirectory returns a directory that knows nothing yet.
-func NewDirectory(store platform.Store) *Directory {
+func NewDirectory(store backing.Store) *Directory {
 	return &Directory{store: store, holders: make(map[string]Holder)}
 }
 
@@ -62,7 +62,7 @@
 
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	f := platform.Follower{
+	f := backing.Follower{
 		Store: d.store, Prefix: keyPrefix,
 		Wait: watchWait, Timeout: watchTimeout, Retry: watchRetry,
 		Replace: d.replace, Apply: d.apply,
@@ -70,7 +70,7 @@
 	f.Run(ctx)
 }
 
-func (d *Directory) replace(items []platform.KeyValue) error {
+func (d *Directory) replace(items []backing.KeyValue) error {
 	holders := make(map[string]Holder, len(items))
 	for _, kv := range items {
 		if name, h, ok := decodeHolder(kv); ok {
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func (d *Directory) apply(events []platform.Event) error {
+func (d *Directory) apply(events []backing.Event) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range events {
@@ -98,7 +98,7 @@
 	return nil
 }
 
-func decodeHolder(kv platform.KeyValue) (string, Holder, bool) {
+func decodeHolder(kv backing.KeyValue) (string, Holder, bool) {
 	var h holder
 	if json.Unmarshal(kv.Value, &h) != nil {
 		return "", Holder{}, false
--- a/internal/lease/piece.go
+++ b/internal/lease/piece.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // keyPrefix is where the store holds the pieces.
@@ -12,9 +12,9 @@
 // piece is one piece that this host holds or is giving up.
 type piece struct {
 	name     string
-	revision platform.Revision
+	revision backing.Revision
 	// lease is the lease that the key stands under.
-	lease platform.LeaseID
+	lease backing.LeaseID
 	// leaving is when the host stopped using the piece, to release it later.
 	leaving   time.Time
 	isLeaving bool
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // renew renews the lease when it is due. A lease that the store no longer has
@@ -22,7 +22,7 @@
 	defer cancel()
 	s.stats.Calls.Add(1)
 	answer, err := s.o.Store.KeepAlive(ctx, id)
-	if errors.Is(err, platform.ErrLeaseExpired) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrLeaseExpired) || errors.Is(err, backing.ErrNotFound) {
 		s.stats.Expired.Add(1)
 		s.forget(id)
 		return
@@ -36,7 +36,7 @@
 }
 
 // extend counts the lease from a moment before the call was sent.
-func (s *Set) extend(id platform.LeaseID, before Instant, answer platform.Lease) {
+func (s *Set) extend(id backing.LeaseID, before Instant, answer backing.Lease) {
 	if s.flaws.countsFromAnswer {
 		before = s.o.Clock.Now()
 	}
@@ -49,7 +49,7 @@
 	s.ttl = answer.TTL
 }
 
-func (s *Set) forget(id platform.LeaseID) {
+func (s *Set) forget(id backing.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lease != id {
@@ -62,7 +62,7 @@
 
 // forgetOverdue forgets a lease that the store has dropped by now, however
 // slow its clock. It is not renewed any more: its keys are gone.
-func (s *Set) forgetOverdue(id platform.LeaseID) {
+func (s *Set) forgetOverdue(id backing.LeaseID) {
 	s.mu.Lock()
 	overdue := s.o.Clock.Now().Since(s.granted) > s.ttl+s.o.Settings.Margin
 	s.mu.Unlock()
@@ -72,7 +72,7 @@
 }
 
 // current returns a lease that can be used, granting one when there is none.
-func (s *Set) current(ctx context.Context) (platform.LeaseID, bool) {
+func (s *Set) current(ctx context.Context) (backing.LeaseID, bool) {
 	s.mu.Lock()
 	id, left := s.lease, s.left(s.o.Clock.Now())
 	s.mu.Unlock()
--- a/internal/lease/set.go
+++ b/internal/lease/set.go
@@ -6,14 +6,14 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 )
 
 // Options configure a Set.
 type Options struct {
 	Host, Incarnation string
-	Store             platform.Store
+	Store             backing.Store
 	Clock             Clock
 	Settings          Settings
 	// Pieces returns the pieces that there are.
@@ -34,7 +34,7 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	lease platform.LeaseID
+	lease backing.LeaseID
 	// granted is a moment before the store last granted or renewed the lease.
 	granted Instant
 	ttl     time.Duration
--- a/internal/lease/take.go
+++ b/internal/lease/take.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // take creates the piece's key under this host's lease, unless it holds it.
@@ -48,7 +48,7 @@
 }
 
 // hold notes a piece whose key is this host's.
-func (s *Set) hold(name string, revision platform.Revision, id platform.LeaseID) {
+func (s *Set) hold(name string, revision backing.Revision, id backing.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lease != id || s.closed {
@@ -61,7 +61,7 @@
 
 // definite reports whether a failed write certainly had no effect and never will.
 func definite(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLeaseExpired)
+	return errors.Is(err, backing.ErrConflict) || errors.Is(err, backing.ErrUnavailable) || errors.Is(err, backing.ErrLeaseExpired)
 }
 
 // noteUnsure notes that a create may still be on its way.
@@ -80,8 +80,8 @@
 
 // settle finds out whether the key is this host's, under this very lease: a
 // create whose answer was lost, now or before.
-func (s *Set) settle(ctx context.Context, name string, id platform.LeaseID, cause error) (platform.Revision, bool) {
-	if errors.Is(cause, platform.ErrUnavailable) {
+func (s *Set) settle(ctx context.Context, name string, id backing.LeaseID, cause error) (backing.Revision, bool) {
+	if errors.Is(cause, backing.ErrUnavailable) {
 		s.stats.Failures.Add(1)
 		return 0, false
 	}
@@ -90,10 +90,10 @@
 }
 
 // look reads the piece's key and says whether it is this host's under the lease.
-func (s *Set) look(ctx context.Context, name string, id platform.LeaseID) (platform.Revision, bool, error) {
+func (s *Set) look(ctx context.Context, name string, id backing.LeaseID) (backing.Revision, bool, error) {
 	s.stats.Calls.Add(1)
 	kv, err := s.o.Store.Get(ctx, keyPrefix+name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -160,7 +160,7 @@
 	defer cancel()
 	s.stats.Calls.Add(1)
 	err := s.o.Store.Delete(ctx, keyPrefix+p.name, p.revision)
-	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, backing.ErrConflict) && !errors.Is(err, backing.ErrNotFound) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/member/exchanger.go
+++ b/internal/member/exchanger.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
@@ -32,7 +32,7 @@
 	table   *Table
 	cfg     Config
 	peers   PeerCaller
-	hosts   platform.HostList
+	hosts   backing.HostList
 	timeout time.Duration
 	log     *slog.Logger
 
@@ -42,7 +42,7 @@
 
 // NewExchanger returns an exchanger of the table. Each call and each read of
 // the host list takes at most timeout.
-func NewExchanger(table *Table, cfg Config, peers PeerCaller, hosts platform.HostList, timeout time.Duration, log *slog.Logger) *Exchanger {
+func NewExchanger(table *Table, cfg Config, peers PeerCaller, hosts backing.HostList, timeout time.Duration, log *slog.Logger) *Exchanger {
 	return &Exchanger{
 		table: table, cfg: cfg, peers: peers, hosts: hosts, timeout: timeout, log: log,
 		calls: semaphore.NewWeighted(maxCalls),
--- a/internal/member/exchanger_test.go
+++ b/internal/member/exchanger_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
@@ -34,9 +34,9 @@
 }
 
 // hostList is the platform's list of the test; it hangs while it is nil.
-type hostList []platform.Host
+type hostList []backing.Host
 
-func (l hostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (l hostList) Hosts(ctx context.Context) ([]backing.Host, error) {
 	if l == nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -59,7 +59,7 @@
 			}
 			configs = append(configs, cfg)
 			network.tables[cfg.Address] = NewTable(cfg, time.Now())
-			hosts = append(hosts, platform.Host{Name: cfg.Name, Address: cfg.Address, State: platform.HostLive})
+			hosts = append(hosts, backing.Host{Name: cfg.Name, Address: cfg.Address, State: backing.HostLive})
 		}
 		var loops sync.WaitGroup
 		var stops []context.CancelFunc
--- a/internal/member/hosts.go
+++ b/internal/member/hosts.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // HostsDue says whether this host should read the platform's host list now,
@@ -24,7 +24,7 @@
 // HandleHosts takes up the platform's host list. It lags and may be wrong: a
 // host that it calls leaving gets no new work; one that it does not hold any
 // more is marked, and only its own silence makes it gone.
-func (t *Table) HandleHosts(list []platform.Host, now time.Time) {
+func (t *Table) HandleHosts(list []backing.Host, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(list) == 0 {
@@ -40,7 +40,7 @@
 		}
 		listed[name] = true
 		state := Live
-		if h.State == platform.HostLeaving {
+		if h.State == backing.HostLeaving {
 			state = Leaving
 		}
 		t.list(name, state, now)
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // checksum recomputes a table's checksums from its records.
@@ -187,16 +187,16 @@
 	is := is.New(t)
 	c := newCluster(6, 2, 4, 10)
 	c.until(t, c.endpointIs("engine-1", Live))
-	var list []platform.Host
+	var list []backing.Host
 	for i := range c.nodes[:5] {
-		list = append(list, platform.Host{Name: c.nodes[i].table.cfg.Name, Address: nodeAddress(i), State: platform.HostLive})
+		list = append(list, backing.Host{Name: c.nodes[i].table.cfg.Name, Address: nodeAddress(i), State: backing.HostLive})
 	}
 	for name, e := range c.nodes[0].table.endpoints {
-		state := platform.HostLive
+		state := backing.HostLive
 		if name == "engine-1" {
-			state = platform.HostLeaving
+			state = backing.HostLeaving
 		}
-		list = append(list, platform.Host{Name: "host-of-" + name, Address: e.Agent, State: state})
+		list = append(list, backing.Host{Name: "host-of-" + name, Address: e.Agent, State: state})
 	}
 	c.nodes[0].table.HandleHosts(list, c.now)
 	c.until(t, c.endpointIs("engine-1", Leaving))
@@ -209,7 +209,7 @@
 		is.Equal(m.Listed == Gone, m.Name == "entry-5")
 	}
 	for i := range list {
-		list[i].State = platform.HostLive
+		list[i].State = backing.HostLive
 	}
 	c.nodes[3].table.HandleHosts(list, c.now)
 	c.until(t, c.endpointIs("engine-1", Live))
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -12,10 +12,10 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/acacialink/acacialink/internal/agent"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/order"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/settings"
@@ -62,11 +62,11 @@
 		RPC:          agentRPC(s),
 	}
 	if s.Endpoint.Type == "service" {
-		o.Service = platform.NewHTTPService(s.Endpoint.URL, nil)
+		o.Service = backing.NewHTTPService(s.Endpoint.URL, nil)
 		return o
 	}
-	o.Engine = platform.NewHTTPEngine(s.Endpoint.URL, nil)
-	o.Orders = order.NewGate(s.Name, platform.NewHTTPStore(s.Store, nil), o.Engine, s.Timeouts.Order.Std())
+	o.Engine = backing.NewHTTPEngine(s.Endpoint.URL, nil)
+	o.Orders = order.NewGate(s.Name, backing.NewHTTPStore(s.Store, nil), o.Engine, s.Timeouts.Order.Std())
 	o.KV = &rpc.KVFetcher{
 		Dialer: func(endpoint string) *rpc.Dialer {
 			return rpc.NewDialer(certs.ClientTLS(source, certs.RoleAgent, endpoint), agentRPC(s))
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/control"
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/order"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/pool"
 	"github.com/acacialink/acacialink/internal/quota"
 	"github.com/acacialink/acacialink/internal/role"
@@ -94,7 +94,7 @@
 		Leases:   e.leases,
 		Config:   e.config,
 		Agents:   agents,
-		Provider: platform.NewHTTPProvider(s.Platform.Provider, nil),
+		Provider: backing.NewHTTPProvider(s.Platform.Provider, nil),
 		Store:    e.store,
 		Settings: poolSettings,
 		Interval: s.Pool.Interval.Std(),
@@ -121,5 +121,5 @@
 // Give implements control.Orders.
 func (e engineOrders) Give(ctx context.Context, o control.EngineOrder) error {
 	target := order.Target{Piece: o.Piece, Fence: o.Fence, Endpoint: o.Endpoint, Agent: o.Agent}
-	return e.giver.Give(ctx, target, platform.Order{Kind: o.Kind, Role: o.Role, Model: o.Model, Adapter: o.Adapter})
+	return e.giver.Give(ctx, target, backing.Order{Kind: o.Kind, Role: o.Role, Model: o.Model, Adapter: o.Adapter})
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -7,9 +7,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/member"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -89,26 +89,26 @@
 // hosts take turns in reading it, so that not each reads the whole list.
 type listedHosts struct {
 	table   *member.Table
-	list    platform.HostList
+	list    backing.HostList
 	started time.Time
 }
 
-// Hosts implements platform.HostList. A host counts as listed until both the
+// Hosts implements backing.HostList. A host counts as listed until both the
 // list has dropped it and it is silent.
-func (l listedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (l listedHosts) Hosts(ctx context.Context) ([]backing.Host, error) {
 	if time.Since(l.started) < ownReads {
 		return l.list.Hosts(ctx)
 	}
-	var hosts []platform.Host
+	var hosts []backing.Host
 	for _, m := range l.table.Entries(time.Now()) {
 		if m.State == member.Gone && m.Listed == member.Gone {
 			continue
 		}
-		state := platform.HostLive
+		state := backing.HostLive
 		if m.State == member.Leaving || m.Listed == member.Leaving {
-			state = platform.HostLeaving
+			state = backing.HostLeaving
 		}
-		hosts = append(hosts, platform.Host{Name: m.Name, Domain: m.Domain, State: state, Address: m.Address})
+		hosts = append(hosts, backing.Host{Name: m.Name, Domain: m.Domain, State: state, Address: m.Address})
 	}
 	return hosts, nil
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/control"
 	"github.com/acacialink/acacialink/internal/entry"
@@ -21,7 +22,6 @@
 	"github.com/acacialink/acacialink/internal/member"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/once"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/queue"
 	"github.com/acacialink/acacialink/internal/quota"
 	"github.com/acacialink/acacialink/internal/record"
@@ -40,9 +40,9 @@
 	incarnation string
 	log         *slog.Logger
 	registry    *observe.Registry
-	store       platform.Store
+	store       backing.Store
 	marks       *record.Marks
-	hostList    platform.HostList
+	hostList    backing.HostList
 	members     *member.Table
 	exchanger   *member.Exchanger
 	directory   *directory
@@ -85,7 +85,7 @@
 		incarnation: observe.NewRequestID(),
 		log:         log,
 		registry:    observe.NewRegistry(observe.Identity{Process: s.Name, Role: "entry", Domain: s.Domain}),
-		store:       platform.NewHTTPStore(s.Platform.Store, nil),
+		store:       backing.NewHTTPStore(s.Platform.Store, nil),
 		queues:      entry.NewQueues(queueSettings(s)),
 		capacityDue: make(chan struct{}, 1),
 		killed:      make(chan struct{}),
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -7,10 +7,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/opsapi"
-	"github.com/acacialink/acacialink/internal/platform"
 )
 
 // callerServer serves callers. It bounds headers in size and time.
@@ -57,7 +57,7 @@
 	e.members.Leave(time.Now())
 	e.log.Info("drain began")
 	begun := time.Now()
-	platform.Pause(ctx, e.settings.Timeouts.DrainNotice.Std())
+	backing.Pause(ctx, e.settings.Timeouts.DrainNotice.Std())
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain.Std())
 	defer cancel()
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -5,10 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
 	"github.com/acacialink/acacialink/internal/fleet"
 	"github.com/acacialink/acacialink/internal/member"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/snapshot"
@@ -18,7 +18,7 @@
 // are open: the table spreads this host's address.
 func (e *Entry) buildMembership(source certs.Source) {
 	s := e.settings
-	e.hostList = platform.NewHTTPHostList(s.Platform.HostList, nil)
+	e.hostList = backing.NewHTTPHostList(s.Platform.HostList, nil)
 	config := member.Config{
 		Name:        s.Name,
 		Domain:      s.Domain,
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/lease"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/usage"
 )
@@ -23,7 +23,7 @@
 	s.PageBytes = int(e.settings.Usage.PageBytes)
 	owners := usageOwners{e.leases, e.holders}
 	source := e.settings.Name + "/" + e.incarnation
-	sink := platform.NewHTTPUsageSink(e.settings.Platform.UsageSink, nil)
+	sink := backing.NewHTTPUsageSink(e.settings.Platform.UsageSink, nil)
 	e.recorder = usage.NewRecorder(s)
 	e.keepers = usage.NewKeepers(s, e.settings.Name, e.marks, owners, e.store, sink)
 	e.sender = usage.NewSender(s, e.settings.Name, source, e.recorder, owners, e.directory, e.keepers)
--- a/internal/once/attempt.go
+++ b/internal/once/attempt.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -56,7 +56,7 @@
 		if found.state != stateClaimed || found.body != a.body {
 			return line, found, nil
 		}
-		if turn > 0 && (a.holderGone(found) || !platform.Pause(limit, pause)) {
+		if turn > 0 && (a.holderGone(found) || !backing.Pause(limit, pause)) {
 			return line, found, nil
 		}
 		pause = min(2*pause, pollLast)
--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // closePoll is how often Close looks whether all outcomes are recorded.
@@ -31,7 +31,7 @@
 }
 
 // New returns Claims over the store. Close ends it.
-func New(store platform.Store, o Options) *Claims {
+func New(store backing.Store, o Options) *Claims {
 	o = o.withDefaults()
 	stats := &Stats{}
 	counted := &countedStore{store: store, timeout: o.StoreTimeout, stats: stats}
@@ -58,7 +58,7 @@
 // Close records the outcomes that are still queued, until ctx ends, and stops.
 // No Run may start after it.
 func (c *Claims) Close(ctx context.Context) {
-	for !c.idle() && platform.Pause(ctx, closePoll) {
+	for !c.idle() && backing.Pause(ctx, closePoll) {
 		continue
 	}
 	c.stop()
--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // errClaimWait means that the store did not settle a claim in time.
@@ -26,14 +26,14 @@
 		}
 		batch = rest
 		switch {
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, backing.ErrConflict):
 			s.stats.Conflicts.Add(1)
 			delay = min(2*delay, 16*conflictDelay)
-			if platform.Pause(ctx, jitter(delay)) {
+			if backing.Pause(ctx, jitter(delay)) {
 				continue
 			}
-		case errors.Is(err, platform.ErrUnavailable):
-			if platform.Pause(ctx, retryDelay) {
+		case errors.Is(err, backing.ErrUnavailable):
+			if backing.Pause(ctx, retryDelay) {
 				continue
 			}
 		}
@@ -77,9 +77,9 @@
 	}
 	before := s.log.rev
 	if err := s.log.refresh(ctx); err != nil {
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, backing.ErrUnavailable) {
 			s.log.known = false
-			return errors.Wrap(platform.ErrUnavailable, err.Error())
+			return errors.Wrap(backing.ErrUnavailable, err.Error())
 		}
 		return err
 	}
@@ -124,13 +124,13 @@
 	if err == nil {
 		err = s.log.seal(ctx, lease)
 	}
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, backing.ErrUnavailable) {
 		return err
 	}
-	if errors.Is(err, platform.ErrLeaseExpired) {
+	if errors.Is(err, backing.ErrLeaseExpired) {
 		s.lease.forget(lease)
 	}
-	return errors.Wrap(platform.ErrUnavailable, err.Error())
+	return errors.Wrap(backing.ErrUnavailable, err.Error())
 }
 
 // markUnsettled notes on the claims of a batch that they may be in the store.
@@ -144,7 +144,7 @@
 }
 
 // accept takes a head that was written and settles the batch.
-func (s *shard) accept(rev platform.Revision, next head, batch []*op) {
+func (s *shard) accept(rev backing.Revision, next head, batch []*op) {
 	if len(next.Pages) > 0 && next.Pages[len(next.Pages)-1].Head == s.log.rev {
 		s.log.sealed(s.log.rev)
 	}
--- a/internal/once/countedstore.go
+++ b/internal/once/countedstore.go
@@ -4,18 +4,18 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // countedStore bounds and counts the calls of the store.
 type countedStore struct {
-	store   platform.Store
+	store   backing.Store
 	timeout time.Duration
 	stats   *Stats
 }
 
 // Get reads a key.
-func (s *countedStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *countedStore) Get(ctx context.Context, key string) (backing.KeyValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	s.stats.Reads.Add(1)
@@ -23,7 +23,7 @@
 }
 
 // CompareAndSwap writes a key.
-func (s *countedStore) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (s *countedStore) CompareAndSwap(ctx context.Context, key string, expect backing.Revision, value []byte, lease backing.LeaseID) (backing.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	s.stats.Writes.Add(1)
@@ -31,7 +31,7 @@
 }
 
 // Grant creates a lease.
-func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (backing.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	s.stats.Writes.Add(1)
--- a/internal/once/entry.go
+++ b/internal/once/entry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // state is how far the work under a claim is known to be.
@@ -36,7 +36,7 @@
 // pageRef names a sealed page of a shard's log.
 type pageRef struct {
 	// Head is the revision of the head record whose entries the page holds.
-	Head platform.Revision `json:"h"`
+	Head backing.Revision `json:"h"`
 	// Newest is the time of the page's newest entry in Unix seconds.
 	Newest int64 `json:"t"`
 }
--- a/internal/once/index.go
+++ b/internal/once/index.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // record is what is known of a key: its last claim and that claim's state.
@@ -15,7 +15,7 @@
 	// response is set while the line of stateDone is in the open page.
 	response *Response
 	// page is the sealed page with the line of stateDone, zero for none.
-	page platform.Revision
+	page backing.Revision
 }
 
 // index holds the last claim of each key of a shard.
@@ -29,7 +29,7 @@
 
 // apply takes a line in log order. page is the sealed page that holds it,
 // zero for the open page.
-func (x *index) apply(e *entry, page platform.Revision) {
+func (x *index) apply(e *entry, page backing.Revision) {
 	if e.State == stateClaimed {
 		x.records[e.Key] = &record{mark: e.Mark, body: e.Body, at: e.At, state: stateClaimed}
 		return
--- a/internal/once/log.go
+++ b/internal/once/log.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // errPageMissing means that a sealed page within the retention time is gone
@@ -24,11 +24,11 @@
 
 	// known is false until the head was read, and after a lost race.
 	known bool
-	rev   platform.Revision
+	rev   backing.Revision
 	head  head
 	index *index
 	// seen are the sealed pages that the index holds.
-	seen map[platform.Revision]bool
+	seen map[backing.Revision]bool
 }
 
 func newLog(store *countedStore, shard int, o Options) *log {
@@ -37,13 +37,13 @@
 		name:    fmt.Sprintf("once/%03d", shard),
 		options: o,
 		index:   newIndex(),
-		seen:    make(map[platform.Revision]bool),
+		seen:    make(map[backing.Revision]bool),
 	}
 }
 
 func (l *log) headKey() string { return l.name + "/head" }
 
-func (l *log) pageKey(p platform.Revision) string { return fmt.Sprintf("%s/page/%d", l.name, p) }
+func (l *log) pageKey(p backing.Revision) string { return fmt.Sprintf("%s/page/%d", l.name, p) }
 
 // refresh reads the head and the sealed pages that the index lacks.
 func (l *log) refresh(ctx context.Context) error {
@@ -64,9 +64,9 @@
 	return nil
 }
 
-func (l *log) readHead(ctx context.Context) (platform.Revision, head, error) {
+func (l *log) readHead(ctx context.Context) (backing.Revision, head, error) {
 	kv, err := l.store.Get(ctx, l.headKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return 0, head{}, nil
 	}
 	if err != nil {
@@ -94,9 +94,9 @@
 	return nil
 }
 
-func (l *log) pageEntries(ctx context.Context, page platform.Revision) ([]entry, error) {
+func (l *log) pageEntries(ctx context.Context, page backing.Revision) ([]entry, error) {
 	kv, err := l.store.Get(ctx, l.pageKey(page))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return nil, errPageMissing
 	}
 	if err != nil {
@@ -110,7 +110,7 @@
 }
 
 // adopt takes a head that was read or written at rev.
-func (l *log) adopt(rev platform.Revision, h head) {
+func (l *log) adopt(rev backing.Revision, h head) {
 	for i := range h.Open {
 		l.index.apply(&h.Open[i], 0)
 	}
@@ -119,20 +119,20 @@
 
 // seal writes the open page of the current head under that head's revision.
 // Every writer of the page writes the same bytes, so it may exist already.
-func (l *log) seal(ctx context.Context, lease platform.LeaseID) error {
+func (l *log) seal(ctx context.Context, lease backing.LeaseID) error {
 	value, err := json.Marshal(l.head.Open)
 	if err != nil {
 		return errors.Wrap(err, "encode a claim page")
 	}
 	_, err = l.store.CompareAndSwap(ctx, l.pageKey(l.rev), 0, value, lease)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrConflict) {
 		return nil
 	}
 	return err
 }
 
 // sealed records in the index that the open page is now a sealed one.
-func (l *log) sealed(page platform.Revision) {
+func (l *log) sealed(page backing.Revision) {
 	for i := range l.head.Open {
 		l.index.apply(&l.head.Open[i], page)
 	}
--- a/internal/once/pagelease.go
+++ b/internal/once/pagelease.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const (
@@ -23,11 +23,11 @@
 	// turn has room for one value; whoever put it there may use id and since. It is a
 	// channel because it is held during a call of the store.
 	turn  chan struct{}
-	id    platform.LeaseID
+	id    backing.LeaseID
 	since time.Time
 }
 
-func (p *pageLease) get(ctx context.Context) (platform.LeaseID, error) {
+func (p *pageLease) get(ctx context.Context) (backing.LeaseID, error) {
 	select {
 	case p.turn <- struct{}{}:
 	case <-ctx.Done():
@@ -47,7 +47,7 @@
 }
 
 // forget makes the next page ask for another lease than id.
-func (p *pageLease) forget(id platform.LeaseID) {
+func (p *pageLease) forget(id backing.LeaseID) {
 	p.turn <- struct{}{}
 	defer func() { <-p.turn }()
 	if p.id == id {
--- a/internal/once/response.go
+++ b/internal/once/response.go
@@ -1,9 +1,9 @@
 package once
 
-import "github.com/acacialink/acacialink/internal/platform"
+import "github.com/acacialink/acacialink/internal/backing"
 
 // Response is the whole answer of a plain service.
-type Response = platform.ServiceResponse
+type Response = backing.ServiceResponse
 
 // responseBytes estimates the size of an answer with its headers.
 func responseBytes(r *Response) int {
--- a/internal/once/shard.go
+++ b/internal/once/shard.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const (
@@ -157,7 +157,7 @@
 			if !s.gather(ctx) {
 				return
 			}
-			if !s.commit(ctx, s.take()) && !platform.Pause(ctx, idleRetryDelay) {
+			if !s.commit(ctx, s.take()) && !backing.Pause(ctx, idleRetryDelay) {
 				return
 			}
 		}
@@ -178,7 +178,7 @@
 		case <-s.kick:
 		}
 	}
-	return platform.Pause(ctx, s.options.Linger)
+	return backing.Pause(ctx, s.options.Linger)
 }
 
 func (s *shard) hasClaim() bool {
--- a/internal/once/write.go
+++ b/internal/once/write.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // errUnsettled means that a write may have taken effect or still may.
@@ -18,7 +18,7 @@
 // holds the write or never will. The result is a revision, ErrConflict or
 // ErrUnavailable, or errUnsettled. After ErrConflict the log must be read
 // again: the batch may be in it.
-func (s *shard) write(ctx context.Context, value []byte) (platform.Revision, error) {
+func (s *shard) write(ctx context.Context, value []byte) (backing.Revision, error) {
 	rev, err := s.swap(ctx, value)
 	if err == nil || definite(err) {
 		return rev, err
@@ -39,43 +39,43 @@
 		if rev, err := s.swap(ctx, value); err == nil {
 			return rev, nil
 		}
-		if !platform.Pause(ctx, retryDelay) {
+		if !backing.Pause(ctx, retryDelay) {
 			s.stats.Unsettled.Add(1)
 			return 0, errUnsettled
 		}
 	}
 }
 
-func (s *shard) swap(ctx context.Context, value []byte) (platform.Revision, error) {
+func (s *shard) swap(ctx context.Context, value []byte) (backing.Revision, error) {
 	return s.log.store.CompareAndSwap(ctx, s.log.headKey(), s.log.rev, value, 0)
 }
 
 // replaced says whether the head that replaced the expected one is ours.
-func replaced(kv platform.KeyValue, value []byte) (platform.Revision, error) {
+func replaced(kv backing.KeyValue, value []byte) (backing.Revision, error) {
 	if bytes.Equal(kv.Value, value) {
 		return kv.Revision, nil
 	}
-	return 0, platform.ErrConflict
+	return 0, backing.ErrConflict
 }
 
 // readBack reads the head until the store answers or ctx ends. A head that
 // does not exist has revision zero.
-func (s *shard) readBack(ctx context.Context) (platform.KeyValue, error) {
+func (s *shard) readBack(ctx context.Context) (backing.KeyValue, error) {
 	for {
 		kv, err := s.log.store.Get(ctx, s.log.headKey())
 		if err == nil {
 			return kv, nil
 		}
-		if errors.Is(err, platform.ErrNotFound) {
-			return platform.KeyValue{}, nil
+		if errors.Is(err, backing.ErrNotFound) {
+			return backing.KeyValue{}, nil
 		}
-		if !platform.Pause(ctx, retryDelay) {
-			return platform.KeyValue{}, err
+		if !backing.Pause(ctx, retryDelay) {
+			return backing.KeyValue{}, err
 		}
 	}
 }
 
 // definite reports whether a failed write certainly had no effect.
 func definite(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, backing.ErrConflict) || errors.Is(err, backing.ErrUnavailable)
 }
--- a/internal/opsapi/refusal.go
+++ b/internal/opsapi/refusal.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/snapshot"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -70,10 +70,10 @@
 	switch {
 	case errors.Is(err, snapshot.ErrVoters):
 		return refuse(http.StatusUnprocessableEntity, "no_voter", err.Error())
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		e := verdict.Wrap(err, verdict.MayHaveRun, unavailable, "outcome_unknown", "the store's answer was lost; the change may have been accepted")
 		return &refusal{cause: e.After(retry)}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, snapshot.ErrBusy):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, snapshot.ErrBusy):
 		e := verdict.Wrap(err, verdict.NotRun, unavailable, "store_unavailable", "the store does not take changes now; nothing was changed")
 		return &refusal{cause: e.After(retry)}
 	default:
--- a/internal/order/gate.go
+++ b/internal/order/gate.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -15,8 +15,8 @@
 // Gate is the agent's side: it decides whether an order reaches the engine.
 type Gate struct {
 	endpoint string
-	store    platform.Store
-	engine   platform.Engine
+	store    backing.Store
+	engine   backing.Engine
 	// limit bounds the work of one order at the engine.
 	limit time.Duration
 	flaws flaws
@@ -34,7 +34,7 @@
 
 // NewGate returns the gate of an endpoint. limit bounds one order's work at
 // the engine.
-func NewGate(endpoint string, store platform.Store, engine platform.Engine, limit time.Duration) *Gate {
+func NewGate(endpoint string, store backing.Store, engine backing.Engine, limit time.Duration) *Gate {
 	return &Gate{endpoint: endpoint, store: store, engine: engine, limit: limit}
 }
 
@@ -118,11 +118,11 @@
 func (g *Gate) apply(ctx context.Context, m *wire.OrderRequest) *wire.OrderResponse {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.limit)
 	defer cancel()
-	err := g.engine.Apply(ctx, platform.Order{
+	err := g.engine.Apply(ctx, backing.Order{
 		ID:      m.Id,
 		Fence:   m.Fence,
-		Kind:    platform.OrderKind(m.Kind),
-		Role:    platform.Role(m.Role),
+		Kind:    backing.OrderKind(m.Kind),
+		Role:    backing.Role(m.Role),
 		Model:   m.Model,
 		Adapter: m.Adapter,
 		Issuer:  m.Issuer,
@@ -130,9 +130,9 @@
 	switch {
 	case err == nil:
 		return g.answer(resultDone, "")
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, backing.ErrFenced):
 		return g.answer(resultFenced, err.Error())
-	case errors.Is(err, platform.ErrRejected), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrRejected), errors.Is(err, backing.ErrUnavailable):
 		return g.answer(resultRefused, err.Error())
 	default:
 		return g.answer(resultUnknown, err.Error())
--- a/internal/order/giver.go
+++ b/internal/order/giver.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -23,13 +23,13 @@
 // concurrent use on different endpoints.
 type Giver struct {
 	host   string
-	store  platform.Store
+	store  backing.Store
 	sender Sender
 	marks  *record.Marks
 }
 
 // NewGiver returns a giver that issues orders in the name of the host.
-func NewGiver(host string, store platform.Store, sender Sender, marks *record.Marks) *Giver {
+func NewGiver(host string, store backing.Store, sender Sender, marks *record.Marks) *Giver {
 	return &Giver{host: host, store: store, sender: sender, marks: marks}
 }
 
@@ -47,7 +47,7 @@
 // whose outcome is unknown is settled first. The deadline of ctx is the end of
 // the holder's authority: the agent does not act on an order that it cannot
 // pass on before then.
-func (g *Giver) Give(ctx context.Context, t Target, o platform.Order) error {
+func (g *Giver) Give(ctx context.Context, t Target, o backing.Order) error {
 	r := record.New[Intent](g.store, Key(t.Endpoint), g.marks)
 	if err := r.Load(ctx); err != nil {
 		return err
@@ -147,7 +147,7 @@
 
 // lost turns a conflict into ErrLost: only a later holder writes the record.
 func lost(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrConflict) {
 		return errors.Wrap(ErrLost, err.Error())
 	}
 	return err
--- a/internal/order/intent.go
+++ b/internal/order/intent.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // State is how far an order is.
@@ -28,10 +28,10 @@
 	// Number counts the endpoint's orders.
 	Number int64 `json:"number"`
 	// Order is the last order; its ID names endpoint and number.
-	Order   platform.Order `json:"order"`
-	State   State          `json:"state"`
-	Message string         `json:"message,omitempty"`
-	Since   time.Time      `json:"since"`
+	Order   backing.Order `json:"order"`
+	State   State         `json:"state"`
+	Message string        `json:"message,omitempty"`
+	Since   time.Time     `json:"since"`
 }
 
 // Key is the store's key of an endpoint's record.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/standin/kv"
@@ -19,12 +19,12 @@
 
 // fakeEngine ignores fencing numbers and records what it was told.
 type fakeEngine struct {
-	platform.Engine
-	applied []platform.Order
+	backing.Engine
+	applied []backing.Order
 	err     error
 }
 
-func (e *fakeEngine) Apply(_ context.Context, o platform.Order) error {
+func (e *fakeEngine) Apply(_ context.Context, o backing.Order) error {
 	if e.err != nil {
 		return e.err
 	}
@@ -83,17 +83,17 @@
 	return NewGiver(host, s.store, s, record.NewMarks(host, "1"))
 }
 
-func give(ctx context.Context, g *Giver, fence int64, role platform.Role) error {
+func give(ctx context.Context, g *Giver, fence int64, role backing.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	return g.Give(ctx, Target{Piece: "role/north", Fence: fence, Endpoint: "e"}, platform.Order{Kind: platform.OrderSetRole, Role: role})
+	return g.Give(ctx, Target{Piece: "role/north", Fence: fence, Endpoint: "e"}, backing.Order{Kind: backing.OrderSetRole, Role: role})
 }
 
 func TestOrderIsDoneOnce(t *testing.T) {
 	is := is.New(t)
 	s := newSite()
 	defer s.store.Close()
-	is.NoErr(give(t.Context(), s.giver("a"), 1, platform.RolePrefill))
+	is.NoErr(give(t.Context(), s.giver("a"), 1, backing.RolePrefill))
 	is.Equal(len(s.engine.applied), 1)
 	is.Equal(s.engine.applied[0].Issuer, "a")
 	is.Equal(s.engine.applied[0].Fence, int64(1))
@@ -104,13 +104,13 @@
 	s := newSite()
 	defer s.store.Close()
 	s.lose = true
-	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, platform.RolePrefill), ErrUnsettled))
-	is.NoErr(give(t.Context(), s.giver("b"), 2, platform.RoleDecode))
+	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, backing.RolePrefill), ErrUnsettled))
+	is.NoErr(give(t.Context(), s.giver("b"), 2, backing.RoleDecode))
 	is.Equal(len(s.engine.applied), 3)
 	is.Equal(s.engine.applied[1].ID, s.engine.applied[0].ID)
-	is.Equal(s.engine.applied[1].Role, platform.RolePrefill)
+	is.Equal(s.engine.applied[1].Role, backing.RolePrefill)
 	is.Equal(s.engine.applied[1].Issuer, "b") // One issuer to a fencing number.
-	is.Equal(s.engine.applied[2].Role, platform.RoleDecode)
+	is.Equal(s.engine.applied[2].Role, backing.RoleDecode)
 }
 
 func TestHeldUpOrderOfAnOldHolderHasNoEffect(t *testing.T) {
@@ -118,13 +118,13 @@
 	s := newSite()
 	defer s.store.Close()
 	s.hold = true
-	is.True(give(t.Context(), s.giver("a"), 1, platform.RolePrefill) != nil)
-	is.NoErr(give(t.Context(), s.giver("b"), 2, platform.RoleDecode))
+	is.True(give(t.Context(), s.giver("a"), 1, backing.RolePrefill) != nil)
+	is.NoErr(give(t.Context(), s.giver("b"), 2, backing.RoleDecode))
 	before := len(s.engine.applied)
 	s.restartAgent() // An agent that has just started knows nothing.
 	s.release(t.Context())
 	is.Equal(len(s.engine.applied), before)
-	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, platform.RolePrefill), ErrLost))
+	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, backing.RolePrefill), ErrLost))
 	is.Equal(len(s.engine.applied), before)
 }
 
@@ -133,7 +133,7 @@
 	s := newSite()
 	defer s.store.Close()
 	s.hold = true
-	is.True(give(t.Context(), s.giver("a"), 1, platform.RolePrefill) != nil)
+	is.True(give(t.Context(), s.giver("a"), 1, backing.RolePrefill) != nil)
 	s.store.SetDown(true)
 	s.release(t.Context())
 	is.Equal(len(s.engine.applied), 0)
@@ -144,7 +144,7 @@
 		is := is.New(t)
 		s := newSite()
 		s.hold = true
-		is.True(give(t.Context(), s.giver("a"), 1, platform.RolePrefill) != nil)
+		is.True(give(t.Context(), s.giver("a"), 1, backing.RolePrefill) != nil)
 		s.store.SetDelay(3 * time.Second)
 		s.release(t.Context())
 		is.Equal(len(s.engine.applied), 0)
@@ -156,19 +156,19 @@
 	is := is.New(t)
 	s := newSite()
 	defer s.store.Close()
-	s.engine.err = platform.ErrRejected
-	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, platform.RolePrefill), ErrRefused))
+	s.engine.err = backing.ErrRejected
+	is.True(errors.Is(give(t.Context(), s.giver("a"), 1, backing.RolePrefill), ErrRefused))
 	s.engine.err = nil
-	is.NoErr(give(t.Context(), s.giver("a"), 1, platform.RoleDecode))
+	is.NoErr(give(t.Context(), s.giver("a"), 1, backing.RoleDecode))
 	is.Equal(len(s.engine.applied), 1)
 }
 
 // conflicts counts orders of an older holder that an engine did after the
 // first of a newer one, and IDs that stand for two different orders.
-func conflicts(applied []platform.Order) int {
+func conflicts(applied []backing.Order) int {
 	n := 0
 	highest := int64(0)
-	byID := make(map[string]platform.Role)
+	byID := make(map[string]backing.Role)
 	for _, o := range applied {
 		if o.Fence < highest {
 			n++
@@ -206,7 +206,7 @@
 			s.store.SetDown(rnd.IntN(3) == 0)
 		}
 		name := names[rnd.IntN(len(names))]
-		roles := []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleMixed}
+		roles := []backing.Role{backing.RolePrefill, backing.RoleDecode, backing.RoleMixed}
 		if f, ok := holders[name]; ok {
 			_ = give(ctx, s.giver(name), f, roles[rnd.IntN(len(roles))])
 		}
@@ -235,8 +235,8 @@
 		s.gate.flaws.trusting = true
 		rnd := rand.New(rand.NewPCG(seed, 3))
 		s.hold = true
-		_ = give(t.Context(), s.giver("a"), 1, platform.RolePrefill)
-		_ = give(t.Context(), s.giver("b"), 2+int64(rnd.IntN(3)), platform.RoleDecode)
+		_ = give(t.Context(), s.giver("a"), 1, backing.RolePrefill)
+		_ = give(t.Context(), s.giver("b"), 2+int64(rnd.IntN(3)), backing.RoleDecode)
 		s.release(t.Context())
 		found += conflicts(s.engine.applied)
 		s.store.Close()
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -1,6 +1,6 @@
 package queue
 
-import "github.com/acacialink/acacialink/internal/platform"
+import "github.com/acacialink/acacialink/internal/backing"
 
 // Item is a request that asks for admission.
 type Item struct {
@@ -28,7 +28,7 @@
 
 func (i *Item) pieces() int64 {
 	tokens := i.PromptTokens + i.OutputTokens
-	return (tokens + platform.PieceTokens - 1) / platform.PieceTokens
+	return (tokens + backing.PieceTokens - 1) / backing.PieceTokens
 }
 
 func (i *Item) weight() float64 { return float64(max(1, i.Weight)) }
--- a/internal/queue/settings.go
+++ b/internal/queue/settings.go
@@ -35,7 +35,7 @@
 	// prefilled, in tokens.
 	PrefillTokens int64
 	// Pieces is the engine memory that admitted requests may need, in pieces
-	// of platform.PieceTokens tokens.
+	// of backing.PieceTokens tokens.
 	Pieces int64
 	// Streams is how many requests may be admitted at a time, so that the
 	// engines' batches stay small enough for the promised time between
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // SlotKey is the store's key of the SlotTable.
@@ -18,8 +18,8 @@
 type SlotConfig struct {
 	Host        string
 	Incarnation string
-	Store       platform.Store
-	Hosts       platform.HostList
+	Store       backing.Store
+	Hosts       backing.HostList
 	// Fresh says whether this host may act on its configuration; nil means
 	// always. A host that the others take for gone must have turned unfresh
 	// before GoneAfter is over.
@@ -57,7 +57,7 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	table    SlotTable
-	revision platform.Revision
+	revision backing.Revision
 	census   census
 	// stale means that the store must be read before the next write.
 	stale  bool
@@ -132,7 +132,7 @@
 		} else {
 			failures++
 		}
-		if !platform.Pause(ctx, s.pause(failures)) {
+		if !backing.Pause(ctx, s.pause(failures)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/quota/slots_test.go
+++ b/internal/quota/slots_test.go
@@ -10,20 +10,20 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
 
 // hostList is a host list that a test changes.
 type hostList struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []backing.Host
 }
 
-func (l *hostList) Hosts(context.Context) ([]platform.Host, error) {
+func (l *hostList) Hosts(context.Context) ([]backing.Host, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Host(nil), l.hosts...), nil
+	return append([]backing.Host(nil), l.hosts...), nil
 }
 
 func (l *hostList) set(names ...string) {
@@ -31,7 +31,7 @@
 	defer l.mu.Unlock()
 	l.hosts = nil
 	for _, n := range names {
-		l.hosts = append(l.hosts, platform.Host{Name: n, State: platform.HostLive})
+		l.hosts = append(l.hosts, backing.Host{Name: n, State: backing.HostLive})
 	}
 }
 
@@ -208,10 +208,10 @@
 
 func BenchmarkSlotPlan(b *testing.B) {
 	var c census
-	hosts := make([]platform.Host, 370)
+	hosts := make([]backing.Host, 370)
 	var table SlotTable
 	for i := range hosts {
-		hosts[i] = platform.Host{Name: fmt.Sprint("h", i), State: platform.HostLive}
+		hosts[i] = backing.Host{Name: fmt.Sprint("h", i), State: backing.HostLive}
 		table.Slots[i%Shards] = Slot{Host: hosts[i].Name, Incarnation: "1", Fence: 1}
 	}
 	now := time.Unix(1000, 0)
--- a/internal/quota/slotstore.go
+++ b/internal/quota/slotstore.go
@@ -6,11 +6,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // write swaps the table in the store and reads it back.
-func (s *Slots) write(ctx context.Context, t SlotTable, expect platform.Revision) error {
+func (s *Slots) write(ctx context.Context, t SlotTable, expect backing.Revision) error {
 	value, err := json.Marshal(t)
 	if err != nil {
 		return errors.Wrap(err, "encode slot table")
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(ctx, slotTimeout)
 	defer cancel()
 	kv, err := s.config.Store.Get(ctx, SlotKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, backing.ErrNotFound) {
 		return errors.Wrap(err, "read slot table")
 	}
 	s.setStale(false)
@@ -39,11 +39,11 @@
 // most one each watchRetry, so that many changes at once do not wake all hosts
 // for each.
 func (s *Slots) follow(ctx context.Context) {
-	f := platform.Follower{
+	f := backing.Follower{
 		Store: s.config.Store, Prefix: SlotKey,
 		Wait: slotWatch, Timeout: slotTimeout, Retry: watchRetry, Spacing: watchRetry,
 		Replace: s.adoptAll,
-		Apply: func(events []platform.Event) error {
+		Apply: func(events []backing.Event) error {
 			for _, e := range events {
 				if err := s.adopt(e.KeyValue); err != nil {
 					return err
@@ -55,7 +55,7 @@
 	f.Run(ctx)
 }
 
-func (s *Slots) adoptAll(items []platform.KeyValue) error {
+func (s *Slots) adoptAll(items []backing.KeyValue) error {
 	for _, kv := range items {
 		if err := s.adopt(kv); err != nil {
 			return err
@@ -65,7 +65,7 @@
 }
 
 // adopt takes a version of the table unless it is older than the one known.
-func (s *Slots) adopt(kv platform.KeyValue) error {
+func (s *Slots) adopt(kv backing.KeyValue) error {
 	var t SlotTable
 	if kv.Key != SlotKey || len(kv.Value) == 0 {
 		return nil
--- a/internal/quota/slottable.go
+++ b/internal/quota/slottable.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Slot says who owns the base part of one shard.
@@ -32,12 +32,12 @@
 
 // observe takes a host list. A list without the host itself says nothing
 // about the others.
-func (c *census) observe(now time.Time, self string, hosts []platform.Host, owners map[string]struct{}) {
+func (c *census) observe(now time.Time, self string, hosts []backing.Host, owners map[string]struct{}) {
 	listed := make(map[string]struct{}, len(hosts))
 	live := make(map[string]struct{}, len(hosts))
 	for _, h := range hosts {
 		listed[h.Name] = struct{}{}
-		if h.State == platform.HostLive {
+		if h.State == backing.HostLive {
 			live[h.Name] = struct{}{}
 		}
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // ErrDecode means that the stored value cannot be read.
@@ -18,10 +18,10 @@
 // Record is one key of the store as this process last knew it. It is not safe
 // for concurrent use.
 type Record[T any] struct {
-	store    platform.Store
+	store    backing.Store
 	key      string
 	marks    *Marks
-	revision platform.Revision
+	revision backing.Revision
 	known    bool
 	value    T
 }
@@ -33,7 +33,7 @@
 }
 
 // New returns a record that has not been read. A process shares its marks.
-func New[T any](store platform.Store, key string, marks *Marks) *Record[T] {
+func New[T any](store backing.Store, key string, marks *Marks) *Record[T] {
 	return &Record[T]{store: store, key: key, marks: marks}
 }
 
@@ -62,7 +62,7 @@
 func (r *Record[T]) read(ctx context.Context) (string, error) {
 	r.Forget()
 	kv, err := r.store.Get(ctx, r.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		r.known = true
 		return "", nil
 	}
@@ -83,7 +83,7 @@
 // or must be loaded; ErrConflict means that another wrote it.
 func (r *Record[T]) Swap(ctx context.Context, next T) error {
 	if !r.known {
-		return errors.Wrapf(platform.ErrConflict, "%s is not loaded", r.key)
+		return errors.Wrapf(backing.ErrConflict, "%s is not loaded", r.key)
 	}
 	mark := r.marks.Next()
 	body, err := json.Marshal(stored[T]{Mark: mark, Value: next})
@@ -95,7 +95,7 @@
 		r.value, r.revision = next, revision
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, backing.ErrUnavailable) {
 		return errors.Wrapf(err, "write %s", r.key)
 	}
 	return r.settle(ctx, mark, err)
@@ -105,22 +105,22 @@
 func (r *Record[T]) settle(ctx context.Context, mark string, cause error) error {
 	found, err := r.read(ctx)
 	if err != nil {
-		return errors.Wrapf(platform.ErrUnknown, "write %s: %v, then %v", r.key, cause, err)
+		return errors.Wrapf(backing.ErrUnknown, "write %s: %v, then %v", r.key, cause, err)
 	}
 	if found == mark {
 		return nil
 	}
-	return errors.Wrapf(platform.ErrConflict, "write %s", r.key)
+	return errors.Wrapf(backing.ErrConflict, "write %s", r.key)
 }
 
 // Decode returns the value that a key of the store holds, for one who reads it
 // and never writes it.
-func Decode[T any](kv platform.KeyValue) (T, error) {
+func Decode[T any](kv backing.KeyValue) (T, error) {
 	s, err := decode[T](kv)
 	return s.Value, err
 }
 
-func decode[T any](kv platform.KeyValue) (stored[T], error) {
+func decode[T any](kv backing.KeyValue) (stored[T], error) {
 	var s stored[T]
 	if err := json.Unmarshal(kv.Value, &s); err != nil {
 		return s, errors.Wrapf(ErrDecode, "%s: %v", kv.Key, err)
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
@@ -34,26 +34,26 @@
 	is.NoErr(b.Load(t.Context()))
 	is.NoErr(a.Swap(t.Context(), 1))
 	err := b.Swap(t.Context(), 2)
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, backing.ErrConflict))
 	is.Equal(b.Value(), 1)
 	is.NoErr(b.Swap(t.Context(), 2))
 }
 
 // cutStore loses its connection after the next write took effect.
 type cutStore struct {
-	platform.Store
+	backing.Store
 	cut bool
 }
 
-func (s *cutStore) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (s *cutStore) CompareAndSwap(ctx context.Context, key string, expect backing.Revision, value []byte, lease backing.LeaseID) (backing.Revision, error) {
 	_, _ = s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 	s.cut = true
-	return 0, platform.ErrUnknown
+	return 0, backing.ErrUnknown
 }
 
-func (s *cutStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *cutStore) Get(ctx context.Context, key string) (backing.KeyValue, error) {
 	if s.cut {
-		return platform.KeyValue{}, platform.ErrUnavailable
+		return backing.KeyValue{}, backing.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -65,7 +65,7 @@
 	r := record.New[int](&cutStore{Store: store}, "k", record.NewMarks("a", "1"))
 	is.NoErr(r.Load(t.Context()))
 	err := r.Swap(t.Context(), 1)
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, backing.ErrUnknown))
 	is.True(!r.Known())
 	is.True(r.Swap(t.Context(), 2) != nil)
 }
--- a/internal/replay/standins_test.go
+++ b/internal/replay/standins_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/acacialink/acacialink/internal/standin/provider"
 	"github.com/acacialink/acacialink/internal/standin/usagesink"
@@ -33,26 +33,26 @@
 	engineServer := httptest.NewServer(e.Handler())
 	t.Cleanup(engineServer.Close)
 	s.Engines = []string{engineServer.URL}
-	role := func(id string, r platform.Role) error {
-		return e.Apply(ctx, platform.Order{ID: id, Kind: platform.OrderSetRole, Role: r, Fence: 1})
+	role := func(id string, r backing.Role) error {
+		return e.Apply(ctx, backing.Order{ID: id, Kind: backing.OrderSetRole, Role: r, Fence: 1})
 	}
 	now := time.Now().UTC()
 	report := func(age time.Duration, body string) error {
 		window := now.Add(-age).Format(time.RFC3339)
-		return sink.Report(ctx, platform.UsageReport{Window: window, Body: []byte(body)})
+		return sink.Report(ctx, backing.UsageReport{Window: window, Body: []byte(body)})
 	}
 
-	is.NoErr(role("before", platform.RolePrefill))
+	is.NoErr(role("before", backing.RolePrefill))
 	is.NoErr(report(time.Hour, "before"))
 	is.NoErr(s.Begin(ctx))
-	is.NoErr(role("o1", platform.RoleDecode))
-	is.NoErr(role("o1", platform.RoleDecode)) // A repeat.
-	is.NoErr(role("o2", platform.RoleMixed))
+	is.NoErr(role("o1", backing.RoleDecode))
+	is.NoErr(role("o1", backing.RoleDecode)) // A repeat.
+	is.NoErr(role("o2", backing.RoleMixed))
 	is.NoErr(report(time.Minute, "in time"))
 	is.NoErr(report(2*time.Minute, "late"))
 	is.NoErr(report(2*time.Minute, "late"))          // A repeat.
 	is.True(report(2*time.Minute, "another") != nil) // A wrong one.
-	_, err := p.Order(ctx, platform.EndpointOrder{ID: "x", Domain: "north", Pool: "engines", Fence: 1})
+	_, err := p.Order(ctx, backing.EndpointOrder{ID: "x", Domain: "north", Pool: "engines", Fence: 1})
 	is.NoErr(err)
 
 	f, err := s.Figures(ctx)
--- a/internal/replay/trace_test.go
+++ b/internal/replay/trace_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/acacialink/acacialink/examples"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/opsclient"
-	"github.com/acacialink/acacialink/internal/platform"
 )
 
 func TestPublishedTrace(t *testing.T) {
@@ -122,9 +122,9 @@
 	is := is.New(t)
 	r := Request{Context: 5300, Prefix: "dossier-1:5000"}
 	a, b := r.prompt(1, 1), r.prompt(1, 2)
-	is.Equal(platform.Tokens(a), 5300)
+	is.Equal(backing.Tokens(a), 5300)
 	is.True(a != b)
-	is.Equal(platform.PrefixHashes("m", a)[4], platform.PrefixHashes("m", b)[4])
+	is.Equal(backing.PrefixHashes("m", a)[4], backing.PrefixHashes("m", b)[4])
 	r.Prefix = "dossier-2:5000"
-	is.True(platform.PrefixHashes("m", a)[0] != platform.PrefixHashes("m", r.prompt(1, 1))[0])
+	is.True(backing.PrefixHashes("m", a)[0] != backing.PrefixHashes("m", r.prompt(1, 1))[0])
 }
--- a/internal/role/decider.go
+++ b/internal/role/decider.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Decider decides for the engines of one pool in one domain. It is not safe
@@ -118,7 +118,7 @@
 func inService(engines []Engine) []Engine {
 	kept := make([]Engine, 0, len(engines))
 	for _, e := range engines {
-		if !e.Draining && e.Role != platform.Role("") {
+		if !e.Draining && e.Role != backing.Role("") {
 			kept = append(kept, e)
 		}
 	}
--- a/internal/role/decider_test.go
+++ b/internal/role/decider_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 var capacity = Capacity{PrefillTokens: 10_000, DecodeTokens: 1000}
@@ -20,16 +20,16 @@
 func newSite(prefill, decode int) *site {
 	s := &site{now: time.Unix(1000, 0)}
 	for i := range prefill + decode {
-		role := platform.RoleDecode
+		role := backing.RoleDecode
 		if i < prefill {
-			role = platform.RolePrefill
+			role = backing.RolePrefill
 		}
 		s.engines = append(s.engines, Engine{Name: string(rune('a' + i)), Role: role, Ready: true, At: s.now})
 	}
 	return s
 }
 
-func (s *site) count(role platform.Role) int {
+func (s *site) count(role backing.Role) int {
 	n := 0
 	for _, e := range s.engines {
 		if e.Role == role {
@@ -45,10 +45,10 @@
 	for i := range s.engines {
 		e := &s.engines[i]
 		e.At = s.now
-		if e.Role == platform.RolePrefill {
-			e.PromptTokens += int64(d.Prefill / float64(s.count(platform.RolePrefill)))
+		if e.Role == backing.RolePrefill {
+			e.PromptTokens += int64(d.Prefill / float64(s.count(backing.RolePrefill)))
 		} else {
-			e.OutputTokens += int64(d.Decode / float64(s.count(platform.RoleDecode)))
+			e.OutputTokens += int64(d.Decode / float64(s.count(backing.RoleDecode)))
 		}
 	}
 }
@@ -82,8 +82,8 @@
 	d := NewDecider(s.now, DefaultSettings(), capacity)
 	is.Equal(s.run(d, 300, steady(Demand{Prefill: 10_000, Decode: 2500})), 0)
 	is.True(s.run(d, 600, steady(Demand{Prefill: 30_000, Decode: 1000})) >= 1)
-	is.True(s.count(platform.RolePrefill) >= 4)
-	is.True(s.count(platform.RoleDecode) >= 1)
+	is.True(s.count(backing.RolePrefill) >= 4)
+	is.True(s.count(backing.RoleDecode) >= 1)
 }
 
 func TestNoiseMakesFewerChangesThanTheReactiveRule(t *testing.T) {
@@ -107,7 +107,7 @@
 	s := newSite(1, 3)
 	d := NewDecider(s.now, DefaultSettings().Reactive(), capacity)
 	s.run(d, 600, steady(Demand{Prefill: 0, Decode: 10_000}))
-	is.Equal(s.count(platform.RolePrefill), 1)
+	is.Equal(s.count(backing.RolePrefill), 1)
 }
 
 func TestNothingIsDecidedOnStaleReportsOrDuringAChange(t *testing.T) {
--- a/internal/role/engine.go
+++ b/internal/role/engine.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Engine is one engine as its agent last described it.
@@ -11,7 +11,7 @@
 	Name string
 	// Incarnation differs for each start of the agent; counts begin at zero.
 	Incarnation string
-	Role        platform.Role
+	Role        backing.Role
 	// Ready is false while the engine changes or loads.
 	Ready bool
 	// Draining engines are on their way out and count for nothing.
@@ -35,7 +35,7 @@
 // Change is an order to be given to one engine.
 type Change struct {
 	Engine string
-	Role   platform.Role
+	Role   backing.Role
 	// Reason says why, for logs and dumps.
 	Reason string
 }
--- a/internal/role/plan.go
+++ b/internal/role/plan.go
@@ -1,6 +1,6 @@
 package role
 
-import "github.com/acacialink/acacialink/internal/platform"
+import "github.com/acacialink/acacialink/internal/backing"
 
 // split is how many engines serve each role. A mixed engine counts half.
 type split struct {
@@ -16,13 +16,13 @@
 }
 
 // with adds n engines of the role.
-func (s split) with(role platform.Role, n float64) split {
+func (s split) with(role backing.Role, n float64) split {
 	switch role {
-	case platform.RolePrefill:
+	case backing.RolePrefill:
 		s.prefill += n
-	case platform.RoleDecode:
+	case backing.RoleDecode:
 		s.decode += n
-	case platform.RoleMixed:
+	case backing.RoleMixed:
 		s.prefill += n / 2
 		s.decode += n / 2
 	}
@@ -71,12 +71,12 @@
 	now := splitOf(engines)
 	var chosen option
 	found := false
-	for _, from := range []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleMixed} {
+	for _, from := range []backing.Role{backing.RolePrefill, backing.RoleDecode, backing.RoleMixed} {
 		engine, ok := idlest(engines, from)
 		if !ok {
 			continue
 		}
-		for _, to := range []platform.Role{platform.RolePrefill, platform.RoleDecode} {
+		for _, to := range []backing.Role{backing.RolePrefill, backing.RoleDecode} {
 			next := now.with(from, -1).with(to, 1)
 			if to == from || next.prefill < float64(floor) || next.decode < float64(floor) {
 				continue
@@ -96,7 +96,7 @@
 }
 
 // idlest returns the engine of the role with the least work.
-func idlest(engines []Engine, role platform.Role) (Engine, bool) {
+func idlest(engines []Engine, role backing.Role) (Engine, bool) {
 	var chosen Engine
 	found := false
 	for _, e := range engines {
--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const (
@@ -73,7 +73,7 @@
 
 // Event takes one cache event of an endpoint. Events that repeat or come
 // behind a later one are taken all the same: a wrong one costs little.
-func (a *Affinity) Event(now time.Time, endpoint string, e platform.CacheEvent) {
+func (a *Affinity) Event(now time.Time, endpoint string, e backing.CacheEvent) {
 	v := a.view(endpoint)
 	if v.sequence != 0 && e.Sequence > v.sequence+1 {
 		v.trust *= trustAfterGap
@@ -131,7 +131,7 @@
 			if len(found) < maxMatches && !matched(found, h.view.name) {
 				found = append(found, Match{
 					Endpoint: h.view.name,
-					Tokens:   (i + 1) * platform.PieceTokens,
+					Tokens:   (i + 1) * backing.PieceTokens,
 					Trust:    h.view.trust,
 				})
 			}
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Candidate is one endpoint as an entry host knows it.
 type Candidate struct {
 	Name   string
 	Domain string
-	Role   platform.Role
+	Role   backing.Role
 	// Ready is false while the endpoint loads or changes its role.
 	Ready bool
 	// Draining endpoints take no new work.
@@ -39,7 +39,7 @@
 	Requests int
 	// PromptTokens is prompt work that is not yet prefilled, in tokens.
 	PromptTokens int64
-	// Pieces is engine memory, in pieces of platform.PieceTokens tokens.
+	// Pieces is engine memory, in pieces of backing.PieceTokens tokens.
 	Pieces int64
 }
 
@@ -83,10 +83,10 @@
 	if _, tried := r.Exclude[c.Name]; tried {
 		return false
 	}
-	if r.Phase == PhasePrefill && c.Role == platform.RoleDecode {
+	if r.Phase == PhasePrefill && c.Role == backing.RoleDecode {
 		return false
 	}
-	if r.Phase == PhaseDecode && c.Role == platform.RolePrefill {
+	if r.Phase == PhaseDecode && c.Role == backing.RolePrefill {
 		return false
 	}
 	return c.hasAdapter(r)
--- a/internal/route/engine_model_test.go
+++ b/internal/route/engine_model_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/queue"
 )
 
@@ -54,7 +54,7 @@
 	used    int64
 	cache   []uint64
 	busy    bool
-	events  []platform.CacheEvent
+	events  []backing.CacheEvent
 	seq     uint64
 }
 
@@ -101,7 +101,7 @@
 	for hits < len(j.Prefix) && slices.Contains(e.cache, j.Prefix[hits]) {
 		hits++
 	}
-	j.cached = hits * platform.PieceTokens
+	j.cached = hits * backing.PieceTokens
 	j.left = max(1, j.PromptTokens-j.cached)
 	for _, h := range j.Prefix {
 		e.remember(h)
@@ -125,7 +125,7 @@
 
 func (e *modelEngine) event(h uint64, evicted bool) {
 	e.seq++
-	e.events = append(e.events, platform.CacheEvent{Sequence: e.seq, Prefix: h, Evicted: evicted})
+	e.events = append(e.events, backing.CacheEvent{Sequence: e.seq, Prefix: h, Evicted: evicted})
 }
 
 // emit gives each running job a token at now and returns those that end.
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // decodeHorizon bounds the output tokens over which a slow step is charged.
@@ -126,11 +126,11 @@
 // role charges an endpoint whose role is not meant for the phase.
 func (e *estimator) role(c *Candidate) time.Duration {
 	switch {
-	case c.Role == platform.RoleMixed || c.Role == "":
+	case c.Role == backing.RoleMixed || c.Role == "":
 		return 0
-	case e.req.Phase == PhasePrefill && c.Role == platform.RolePrefill:
+	case e.req.Phase == PhasePrefill && c.Role == backing.RolePrefill:
 		return 0
-	case e.req.Phase == PhaseDecode && c.Role == platform.RoleDecode:
+	case e.req.Phase == PhaseDecode && c.Role == backing.RoleDecode:
 		return 0
 	default:
 		return e.costs.RolePenalty
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -1,6 +1,6 @@
 package route
 
-import "github.com/acacialink/acacialink/internal/platform"
+import "github.com/acacialink/acacialink/internal/backing"
 
 // Phase is the part of a generation that an endpoint is wanted for.
 type Phase uint8
@@ -19,7 +19,7 @@
 type Request struct {
 	Model   string
 	Adapter string
-	// Prefix is platform.PrefixHashes of the prompt; empty is allowed.
+	// Prefix is backing.PrefixHashes of the prompt; empty is allowed.
 	Prefix []uint64
 	// PromptTokens and MaxTokens are in tokens.
 	PromptTokens int
@@ -40,7 +40,7 @@
 	if r.Phase != PhasePrefill {
 		tokens += r.MaxTokens
 	}
-	return int64(tokens+platform.PieceTokens-1) / platform.PieceTokens
+	return int64(tokens+backing.PieceTokens-1) / backing.PieceTokens
 }
 
 // work is what the request adds to an endpoint when it starts there.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
 
@@ -151,7 +151,7 @@
 		return
 	}
 	for _, e := range st.GetCacheEvents() {
-		event := platform.CacheEvent{
+		event := backing.CacheEvent{
 			Sequence: e.GetSequence(),
 			Prefix:   e.GetPrefix(),
 			Evicted:  e.GetEvicted(),
@@ -164,7 +164,7 @@
 	return Candidate{
 		Name:     st.GetEndpoint(),
 		Domain:   st.GetDomain(),
-		Role:     platform.Role(st.GetRole()),
+		Role:     backing.Role(st.GetRole()),
 		Ready:    st.GetReady(),
 		Draining: st.GetDraining(),
 		Models:   st.GetModels(),
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -147,18 +147,18 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	a := NewAffinity(100)
-	a.Event(now, "a", platform.CacheEvent{Sequence: 1, Prefix: 7})
+	a.Event(now, "a", backing.CacheEvent{Sequence: 1, Prefix: 7})
 	found := a.lookup(now, []uint64{7, 8}, nil)
 	is.Equal(found, []Match{{Endpoint: "a", Tokens: 1000, Trust: trustStart}})
-	a.Event(now, "a", platform.CacheEvent{Sequence: 5, Prefix: 8})
+	a.Event(now, "a", backing.CacheEvent{Sequence: 5, Prefix: 8})
 	found = a.lookup(now, []uint64{7, 8}, nil)
 	is.Equal(found[0].Tokens, 2000)
 	is.True(found[0].Trust < trustStart)
-	a.Event(now, "a", platform.CacheEvent{Sequence: 6, Prefix: 8, Evicted: true})
+	a.Event(now, "a", backing.CacheEvent{Sequence: 6, Prefix: 8, Evicted: true})
 	is.Equal(a.lookup(now, []uint64{7, 8}, nil)[0].Tokens, 1000)
 	is.Equal(len(a.lookup(now.Add(affinityLifetime+1), []uint64{7}, nil)), 0)
 	for i := range uint64(10000) {
-		a.Event(now, "b", platform.CacheEvent{Sequence: i, Prefix: i})
+		a.Event(now, "b", backing.CacheEvent{Sequence: i, Prefix: i})
 		is.True(a.Len() <= 100)
 	}
 	a.Forget("b")
@@ -193,9 +193,9 @@
 	now := time.Unix(1000, 0)
 	models := []string{"m"}
 	s := NewSet(
-		Candidate{Name: "p", Ready: true, Domain: "north", Role: platform.RolePrefill, Models: models},
-		Candidate{Name: "d", Ready: true, Domain: "north", Role: platform.RoleDecode, Models: models},
-		Candidate{Name: "x", Ready: true, Domain: "north", Role: platform.RoleMixed, Models: models, Own: Work{PromptTokens: 9000, Requests: 9}},
+		Candidate{Name: "p", Ready: true, Domain: "north", Role: backing.RolePrefill, Models: models},
+		Candidate{Name: "d", Ready: true, Domain: "north", Role: backing.RoleDecode, Models: models},
+		Candidate{Name: "x", Ready: true, Domain: "north", Role: backing.RoleMixed, Models: models, Own: Work{PromptTokens: 9000, Requests: 9}},
 	)
 	req := testRequest()
 	_, ok := newTestPicker().SplitPrefill(now, req, s)
--- a/internal/snapshot/append.go
+++ b/internal/snapshot/append.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 )
 
@@ -68,13 +68,13 @@
 	if errors.Is(err, ErrEncoding) {
 		return err
 	}
-	return errors.Wrap(platform.ErrUnavailable, err.Error())
+	return errors.Wrap(backing.ErrUnavailable, err.Error())
 }
 
 // attempt is one try to put a change after one head.
 type attempt struct {
 	log  *Log
-	at   platform.Revision
+	at   backing.Revision
 	head head
 	view *View
 	edit Edit
@@ -146,9 +146,9 @@
 	switch {
 	case err == nil:
 		return true, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return false, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		return false, errors.Wrap(err, "write configuration head")
 	}
 	return a.settle(ctx, value, mark)
@@ -168,7 +168,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return false, errors.Wrap(platform.ErrUnknown, "write configuration head")
+			return false, errors.Wrap(backing.ErrUnknown, "write configuration head")
 		case <-time.After(pause.NextBackOff()):
 		}
 	}
--- a/internal/snapshot/cases_test.go
+++ b/internal/snapshot/cases_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -73,7 +73,7 @@
 		f.store.SetDown(true)
 		f.expectFresh(is, f.freshness(3*time.Minute), 1, 0, 1, 2, 3, 4)
 		_, err := f.change(f.hosts[0], addWorkspace("w", 0))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, backing.ErrUnavailable))
 		f.store.SetDown(false)
 		o, err := f.change(f.hosts[0], addWorkspace("w", 0))
 		is.NoErr(err)
--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/standin/kv"
@@ -254,22 +254,22 @@
 
 // hostStore is one host's way to the store.
 type hostStore struct {
-	platform.Store
+	backing.Store
 	fleet *fleet
 	node  *node
 }
 
-func (s *hostStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *hostStore) Get(ctx context.Context, key string) (backing.KeyValue, error) {
 	defer s.fleet.waitPause(s.node)
 	return s.Store.Get(ctx, key)
 }
 
-func (s *hostStore) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+func (s *hostStore) Watch(ctx context.Context, prefix string, after backing.Revision, wait time.Duration) ([]backing.Event, backing.Revision, error) {
 	defer s.fleet.waitPause(s.node)
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
-func (s *hostStore) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (s *hostStore) CompareAndSwap(ctx context.Context, key string, expect backing.Revision, value []byte, lease backing.LeaseID) (backing.Revision, error) {
 	defer s.fleet.waitPause(s.node)
 	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 }
--- a/internal/snapshot/log.go
+++ b/internal/snapshot/log.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 )
 
@@ -34,7 +34,7 @@
 // state of its own, and any number of hosts use it at a time: a change is
 // accepted by compare-and-swap of the one head record.
 type Log struct {
-	store platform.Store
+	store backing.Store
 	log   *slog.Logger
 	// forgetMark breaks the settling of lost answers on purpose, for tests
 	// that must notice.
@@ -42,7 +42,7 @@
 }
 
 // NewLog returns the log that the store holds. A nil logger logs nothing.
-func NewLog(store platform.Store, log *slog.Logger) *Log {
+func NewLog(store backing.Store, log *slog.Logger) *Log {
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
@@ -53,7 +53,7 @@
 // not sent again. Its zero value has seen nothing.
 type Cursor struct {
 	known    bool
-	revision platform.Revision
+	revision backing.Revision
 	head     head
 }
 
@@ -81,7 +81,7 @@
 		}
 		return s, err
 	}
-	return Step{}, errors.Wrap(platform.ErrUnavailable, errFolded.Error())
+	return Step{}, errors.Wrap(backing.ErrUnavailable, errFolded.Error())
 }
 
 // pollHead returns the current head; an unchanged one costs a watch without events.
@@ -92,7 +92,7 @@
 		return l.loadHead(ctx, c)
 	}
 	events, next, err := l.store.Watch(ctx, headKey, c.revision, headPollWait)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, backing.ErrCompacted) {
 		return l.loadHead(ctx, c)
 	}
 	if err != nil {
@@ -123,9 +123,9 @@
 
 // readHead returns the head and its store revision; an absent one is the zero
 // head at store revision zero.
-func (l *Log) readHead(ctx context.Context) (head, platform.Revision, error) {
+func (l *Log) readHead(ctx context.Context) (head, backing.Revision, error) {
 	kv, err := l.store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return head{}, 0, nil
 	}
 	if err != nil {
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, objectTimeout)
 	defer cancel()
 	kv, err := l.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return nil, errFolded
 	}
 	return kv.Value, errors.Wrap(err, "read configuration")
--- a/internal/snapshot/log_test.go
+++ b/internal/snapshot/log_test.go
@@ -15,12 +15,12 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
 
-func newTestLog(store platform.Store) *Log { return NewLog(store, slog.New(slog.DiscardHandler)) }
+func newTestLog(store backing.Store) *Log { return NewLog(store, slog.New(slog.DiscardHandler)) }
 
 // addWorkspace is an edit that fails the write if the workspace exists, so
 // that a change accepted twice is noticed.
@@ -75,7 +75,7 @@
 	store := kv.New(kv.Options{})
 	store.SetDown(true)
 	_, _, err := newTestLog(store).Append(t.Context(), Empty(), addWorkspace("w", 0))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, backing.ErrUnavailable))
 }
 
 // logRun is one drawn run of several writers on one log.
@@ -149,7 +149,7 @@
 		switch {
 		case got.err == nil && (!ok || res.Revision != got.revision):
 			return fmt.Sprintf("%s accepted at %d, found %v at %d", got.name, got.revision, ok, res.Revision)
-		case got.err != nil && ok && !errors.Is(got.err, platform.ErrUnknown):
+		case got.err != nil && ok && !errors.Is(got.err, backing.ErrUnknown):
 			return fmt.Sprintf("%s refused with %v, but it is there", got.name, got.err)
 		}
 		if ok {
@@ -212,7 +212,7 @@
 	is.NoErr(err)
 	segments := 0
 	for _, kv := range objects {
-		is.True(len(kv.Value) < platform.MaxValueBytes)
+		is.True(len(kv.Value) < backing.MaxValueBytes)
 		if strings.HasPrefix(kv.Key, segmentPrefix) {
 			segments++
 		}
--- a/internal/snapshot/plan.go
+++ b/internal/snapshot/plan.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 )
 
@@ -102,7 +102,7 @@
 	var err error
 	for range tries {
 		_, err = l.store.CompareAndSwap(ctx, o.key, 0, o.value, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, backing.ErrConflict) {
 			return nil
 		}
 	}
--- a/internal/snapshot/push.go
+++ b/internal/snapshot/push.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/pkg/errors"
@@ -47,8 +47,8 @@
 	defer cancel()
 	s, revision, err := h.o.Log.Append(ctx, h.Current(), edit)
 	if err != nil {
-		if ctx.Err() != nil && !errors.Is(err, platform.ErrUnknown) {
-			err = errors.Wrap(platform.ErrUnavailable, err.Error())
+		if ctx.Err() != nil && !errors.Is(err, backing.ErrUnknown) {
+			err = errors.Wrap(backing.ErrUnavailable, err.Error())
 		}
 		return Outcome{}, err
 	}
--- a/internal/standin/engine/caches.go
+++ b/internal/standin/engine/caches.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/binary"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -53,7 +53,7 @@
 	return value.tokens
 }
 
-// ExportKV implements platform.Engine.
+// ExportKV implements backing.Engine.
 func (e *Engine) ExportKV(ctx context.Context, id string) ([]byte, error) {
 	if err := e.holdIfHung(ctx); err != nil {
 		return nil, err
@@ -61,7 +61,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed {
-		return nil, errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return nil, errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	}
 	for _, s := range e.running {
 		if s.request.ID == id && s.todo == 0 {
@@ -70,12 +70,12 @@
 	}
 	value, ok := e.exports.byName[id]
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "KV cache of %q", id)
+		return nil, errors.Wrapf(backing.ErrNotFound, "KV cache of %q", id)
 	}
 	return e.encodeKV(value), nil
 }
 
-// ImportKV implements platform.Engine.
+// ImportKV implements backing.Engine.
 func (e *Engine) ImportKV(ctx context.Context, handle string, value []byte) error {
 	if err := e.holdIfHung(ctx); err != nil {
 		return err
@@ -83,15 +83,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed {
-		return errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	}
 	if len(value) < kvHeaderBytes {
-		return errors.Wrap(platform.ErrRejected, "KV cache is too short")
+		return errors.Wrap(backing.ErrRejected, "KV cache is too short")
 	}
 	seed := binary.BigEndian.Uint64(value)
 	tokens := int(binary.BigEndian.Uint64(value[8:]))
 	if len(value) != kvHeaderBytes+tokens*e.options.KVBytesPerToken {
-		return errors.Wrap(platform.ErrRejected, "KV cache is truncated")
+		return errors.Wrap(backing.ErrRejected, "KV cache is truncated")
 	}
 	e.imports.put(handle, cache{seed: seed, tokens: tokens})
 	return nil
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,8 +1,8 @@
 // Package engine is a stand-in for a model engine. It batches continuously in
 // coarse steps, prefills in chunks by role, caches prompt prefixes in pieces,
 // and has the faults that the platform's engines have. An Engine is a
-// platform.Engine itself and also serves the wire format of
-// platform.HTTPEngine. It reads time only from package time, so tests may run
+// backing.Engine itself and also serves the wire format of
+// backing.HTTPEngine. It reads time only from package time, so tests may run
 // it under testing/synctest.
 package engine
 
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/record"
 )
 
@@ -25,7 +25,7 @@
 	mu       sync.Mutex
 	faults   Faults
 	random   *rand.Rand
-	role     platform.Role
+	role     backing.Role
 	models   map[string]bool
 	adapters map[string]bool
 	// waiting is ordered by priority and arrival, running by arrival.
@@ -54,7 +54,7 @@
 	applying int
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ backing.Engine = (*Engine)(nil)
 
 // New returns an idle engine.
 func New(o Options) *Engine {
@@ -98,7 +98,7 @@
 func (e *Engine) Name() string { return e.options.Name }
 
 // Role returns the role in force.
-func (e *Engine) Role() platform.Role {
+func (e *Engine) Role() backing.Role {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.role
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -17,23 +17,23 @@
 
 func prompt(tokens int) string { return strings.Repeat("wish", tokens) }
 
-func generation(id string, promptTokens, maxTokens int) platform.Generation {
-	return platform.Generation{ID: id, Model: "m", Prompt: prompt(promptTokens), MaxTokens: maxTokens}
+func generation(id string, promptTokens, maxTokens int) backing.Generation {
+	return backing.Generation{ID: id, Model: "m", Prompt: prompt(promptTokens), MaxTokens: maxTokens}
 }
 
 // outcome is what a caller of Generate sees.
 type outcome struct {
 	text         string
 	first, total time.Duration
-	finish       platform.Finish
+	finish       backing.Finish
 	err          error
 }
 
-func run(e platform.Engine, g platform.Generation, limit int) outcome {
+func run(e backing.Engine, g backing.Generation, limit int) outcome {
 	var o outcome
 	start := time.Now()
 	taken := 0
-	o.finish, o.err = e.Generate(context.Background(), g, func(t platform.Token) error {
+	o.finish, o.err = e.Generate(context.Background(), g, func(t backing.Token) error {
 		if taken == 0 {
 			o.first = time.Since(start)
 		}
@@ -48,7 +48,7 @@
 	return o
 }
 
-func background(e platform.Engine, g platform.Generation) <-chan outcome {
+func background(e backing.Engine, g backing.Generation) <-chan outcome {
 	done := make(chan outcome, 1)
 	go func() { done <- run(e, g, -1) }()
 	synctest.Wait()
@@ -92,7 +92,7 @@
 		events, err = e.CacheEvents(t.Context(), 0)
 		is.NoErr(err)
 		is.Equal(len(events), 8)
-		is.Equal(events[0].Prefix, platform.PrefixHashes("m", prompt(8_000))[0])
+		is.Equal(events[0].Prefix, backing.PrefixHashes("m", prompt(8_000))[0])
 		g := generation("c", 8_000, 1)
 		g.Prompt = strings.Repeat("fish", 8_000)
 		is.NoErr(run(e, g, -1).err)
@@ -119,7 +119,7 @@
 		default:
 		}
 		is.NoErr((<-low).err)
-		is.True(errors.Is(run(e, generation("big", 4_000, 1), -1).err, platform.ErrRejected))
+		is.True(errors.Is(run(e, generation("big", 4_000, 1), -1).err, backing.ErrRejected))
 	})
 }
 
@@ -127,14 +127,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx := t.Context()
-		prefill := engine.New(engine.Options{Models: []string{"m"}, Role: platform.RolePrefill})
-		decode := engine.New(engine.Options{Models: []string{"m"}, Role: platform.RoleDecode})
+		prefill := engine.New(engine.Options{Models: []string{"m"}, Role: backing.RolePrefill})
+		decode := engine.New(engine.Options{Models: []string{"m"}, Role: backing.RoleDecode})
 		g := generation("a", 8_000, 5)
 		g.PrefillOnly = true
 		is.NoErr(run(prefill, g, -1).err)
 		value, err := prefill.ExportKV(ctx, "a")
 		is.NoErr(err)
-		is.True(errors.Is(decode.ImportKV(ctx, "h", value[:len(value)-1]), platform.ErrRejected))
+		is.True(errors.Is(decode.ImportKV(ctx, "h", value[:len(value)-1]), backing.ErrRejected))
 		is.NoErr(decode.ImportKV(ctx, "h", value))
 		g.PrefillOnly = false
 		g.KVHandle = "h"
@@ -143,9 +143,9 @@
 		is.True(moved.first < 50*time.Millisecond)
 		is.Equal(moved.text, engine.ExpectedText("m", "", g.Prompt, 5))
 		g.Prompt = prompt(7_000)
-		is.True(errors.Is(run(decode, g, -1).err, platform.ErrRejected)) // of another prompt
+		is.True(errors.Is(run(decode, g, -1).err, backing.ErrRejected)) // of another prompt
 		g.KVHandle = "none"
-		is.True(errors.Is(run(decode, g, -1).err, platform.ErrNotFound))
+		is.True(errors.Is(run(decode, g, -1).err, backing.ErrNotFound))
 	})
 }
 
--- a/internal/standin/engine/events.go
+++ b/internal/standin/engine/events.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -18,7 +18,7 @@
 }
 
 type timedEvent struct {
-	platform.CacheEvent
+	backing.CacheEvent
 	at time.Time
 }
 
@@ -29,25 +29,25 @@
 	if loss > 0 && e.random.Float64() < loss {
 		return
 	}
-	event := platform.CacheEvent{Sequence: e.events.sequence, Prefix: prefix, Evicted: evicted}
+	event := backing.CacheEvent{Sequence: e.events.sequence, Prefix: prefix, Evicted: evicted}
 	e.events.list = append(e.events.list, timedEvent{CacheEvent: event, at: time.Now()})
 	if len(e.events.list) > maxEvents {
 		e.events.list = e.events.list[1:]
 	}
 }
 
-// CacheEvents implements platform.Engine.
-func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements backing.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]backing.CacheEvent, error) {
 	if err := e.holdIfHung(ctx); err != nil {
 		return nil, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed {
-		return nil, errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return nil, errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	}
 	seen := time.Now().Add(-e.options.CacheEventLag)
-	list := []platform.CacheEvent{}
+	list := []backing.CacheEvent{}
 	for _, event := range e.events.list {
 		if event.Sequence > after && !event.at.After(seen) {
 			list = append(list, event.CacheEvent)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -4,11 +4,11 @@
 	"context"
 	"slices"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
-var errCrashed = errors.Wrap(platform.ErrUnknown, "engine crashed")
+var errCrashed = errors.Wrap(backing.ErrUnknown, "engine crashed")
 
 // Faults are the engine's fault switches, as PUT /faults takes them. The zero
 // value is a healthy engine.
@@ -79,7 +79,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return errors.Wrap(platform.ErrUnknown, ctx.Err().Error())
+			return errors.Wrap(backing.ErrUnknown, ctx.Err().Error())
 		}
 	}
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -5,18 +5,18 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
-var errCancelled = errors.Wrap(platform.ErrUnknown, "generation was cancelled")
+var errCancelled = errors.Wrap(backing.ErrUnknown, "generation was cancelled")
 
-// Generate implements platform.Engine. A second generation with the id of one
+// Generate implements backing.Engine. A second generation with the id of one
 // that runs replaces it. Higher priorities go first.
-func (e *Engine) Generate(ctx context.Context, g platform.Generation, emit func(platform.Token) error) (platform.Finish, error) {
+func (e *Engine) Generate(ctx context.Context, g backing.Generation, emit func(backing.Token) error) (backing.Finish, error) {
 	s, err := e.start(ctx, g, nil)
 	if err != nil {
-		return platform.Finish{}, err
+		return backing.Finish{}, err
 	}
 	finish, err := e.follow(ctx, s, emit, nil)
 	e.recordEnd(s, err)
@@ -24,7 +24,7 @@
 }
 
 // start accepts or refuses a generation.
-func (e *Engine) start(ctx context.Context, g platform.Generation, header map[string][]string) (*sequence, error) {
+func (e *Engine) start(ctx context.Context, g backing.Generation, header map[string][]string) (*sequence, error) {
 	if err := e.holdIfHung(ctx); err != nil {
 		return nil, err
 	}
@@ -62,23 +62,23 @@
 	g := s.request
 	switch {
 	case e.faults.Crashed:
-		return errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	case e.changing:
-		return errors.Wrap(platform.ErrUnavailable, "role change in progress")
+		return errors.Wrap(backing.ErrUnavailable, "role change in progress")
 	case !e.models[g.Model]:
-		return errors.Wrapf(platform.ErrRejected, "model %q is not loaded", g.Model)
+		return errors.Wrapf(backing.ErrRejected, "model %q is not loaded", g.Model)
 	case g.Adapter != "" && !e.adapters[adapterName(g.Model, g.Adapter)]:
-		return errors.Wrapf(platform.ErrRejected, "adapter %q is not loaded", g.Adapter)
+		return errors.Wrapf(backing.ErrRejected, "adapter %q is not loaded", g.Adapter)
 	case s.need > e.options.TotalPieces:
-		return errors.Wrap(platform.ErrRejected, "generation exceeds the memory")
+		return errors.Wrap(backing.ErrRejected, "generation exceeds the memory")
 	case g.Resume < 0 || (g.Resume > s.length):
-		return errors.Wrap(platform.ErrRejected, "resume point is past the end")
+		return errors.Wrap(backing.ErrRejected, "resume point is past the end")
 	case len(e.waiting) >= e.options.MaxWaiting:
-		return errors.Wrap(platform.ErrUnavailable, "queue is full")
+		return errors.Wrap(backing.ErrUnavailable, "queue is full")
 	case g.KVHandle != "" && !e.imports.has(g.KVHandle):
-		return errors.Wrapf(platform.ErrNotFound, "KV handle %q", g.KVHandle)
+		return errors.Wrapf(backing.ErrNotFound, "KV handle %q", g.KVHandle)
 	case g.KVHandle != "" && e.imports.covered(g.KVHandle, s.seed) == 0:
-		return errors.Wrapf(platform.ErrRejected, "KV handle %q is of another prompt", g.KVHandle)
+		return errors.Wrapf(backing.ErrRejected, "KV handle %q is of another prompt", g.KVHandle)
 	}
 	return nil
 }
@@ -87,7 +87,7 @@
 
 // follow hands the tokens of a sequence to emit until it ends. beat, when not
 // nil, is called once a heartbeat while there is no token.
-func (e *Engine) follow(ctx context.Context, s *sequence, emit func(platform.Token) error, beat func() error) (platform.Finish, error) {
+func (e *Engine) follow(ctx context.Context, s *sequence, emit func(backing.Token) error, beat func() error) (backing.Finish, error) {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
@@ -95,7 +95,7 @@
 		for _, t := range tokens {
 			if err := emit(t); err != nil {
 				e.stop(s)
-				return platform.Finish{}, err
+				return backing.Finish{}, err
 			}
 		}
 		if done {
@@ -105,11 +105,11 @@
 		case <-s.ready:
 		case <-ctx.Done():
 			e.stop(s)
-			return platform.Finish{}, errors.Wrap(platform.ErrUnknown, ctx.Err().Error())
+			return backing.Finish{}, errors.Wrap(backing.ErrUnknown, ctx.Err().Error())
 		case <-heartbeat.C:
 			if err := e.beat(beat); err != nil {
 				e.stop(s)
-				return platform.Finish{}, err
+				return backing.Finish{}, err
 			}
 		}
 	}
@@ -126,7 +126,7 @@
 }
 
 // take returns the tokens not yet taken and whether they are the last.
-func (e *Engine) take(s *sequence) ([]platform.Token, bool) {
+func (e *Engine) take(s *sequence) ([]backing.Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	tokens := s.out
@@ -142,7 +142,7 @@
 	e.removeEnded()
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements backing.Engine.
 func (e *Engine) Cancel(ctx context.Context, id string) error {
 	if err := e.holdIfHung(ctx); err != nil {
 		return err
@@ -150,7 +150,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed {
-		return errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	}
 	e.cancel(id)
 	return nil
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -53,7 +53,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var g platform.Generation
+	var g backing.Generation
 	if !jsonhttp.Read(w, r, &g) {
 		return
 	}
@@ -63,7 +63,7 @@
 		return
 	}
 	out := stream{w: json.NewEncoder(w), flush: http.NewResponseController(w).Flush}
-	err = out.send(platform.GenerateLine{})
+	err = out.send(backing.GenerateLine{})
 	if err != nil {
 		e.stop(s)
 		return
@@ -77,7 +77,7 @@
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	var c platform.CancelCall
+	var c backing.CancelCall
 	if jsonhttp.Read(w, r, &c) {
 		jsonhttp.Answer(w, struct{}{}, e.Cancel(r.Context(), c.ID))
 	}
@@ -91,7 +91,7 @@
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		jsonhttp.Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		jsonhttp.Fail(w, errors.Wrap(backing.ErrRejected, err.Error()))
 		return
 	}
 	list, err := e.CacheEvents(r.Context(), after)
@@ -100,12 +100,12 @@
 
 // serveOrder carries an accepted order out even if the caller goes away.
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o backing.Order
 	if !jsonhttp.Read(w, r, &o) {
 		return
 	}
 	err := e.Apply(context.WithoutCancel(r.Context()), o)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, backing.ErrUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	jsonhttp.Answer(w, struct{}{}, err)
--- a/internal/standin/engine/handler_test.go
+++ b/internal/standin/engine/handler_test.go
@@ -4,7 +4,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -15,30 +15,30 @@
 	e := engine.New(engine.Options{Models: []string{"m"}, Step: 1e6})
 	server := httptest.NewServer(e.Handler())
 	defer server.Close()
-	client := platform.NewHTTPEngine(server.URL, nil)
+	client := backing.NewHTTPEngine(server.URL, nil)
 	whole := run(client, generation("a", 50, 20), -1)
 	is.NoErr(whole.err)
 	is.Equal(whole.text, engine.ExpectedText("m", "", prompt(50), 20))
-	is.Equal(whole.finish, platform.Finish{Reason: "length", PromptTokens: 50, OutputTokens: 20})
+	is.Equal(whole.finish, backing.Finish{Reason: "length", PromptTokens: 50, OutputTokens: 20})
 	value, err := client.ExportKV(t.Context(), "a")
 	is.NoErr(err)
 	is.NoErr(client.ImportKV(t.Context(), "h", value))
-	is.NoErr(client.Apply(t.Context(), platform.Order{ID: "o", Kind: platform.OrderUnloadModel, Model: "x"}))
+	is.NoErr(client.Apply(t.Context(), backing.Order{ID: "o", Kind: backing.OrderUnloadModel, Model: "x"}))
 	is.Equal(len(e.Record().Orders), 1)
 	_, err = client.Load(t.Context())
 	is.NoErr(err)
 	g := generation("b", 50, 20)
 	g.Model = "none"
-	is.True(errors.Is(run(client, g, -1).err, platform.ErrRejected))
+	is.True(errors.Is(run(client, g, -1).err, backing.ErrRejected))
 	taken := 0
-	_, err = client.Generate(t.Context(), generation("c", 50, 100_000), func(platform.Token) error {
+	_, err = client.Generate(t.Context(), generation("c", 50, 100_000), func(backing.Token) error {
 		taken++
 		if taken == 5 {
 			e.SetFaults(engine.Faults{Crashed: true})
 		}
 		return nil
 	})
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, backing.ErrUnknown))
 	_, err = client.Load(t.Context())
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, backing.ErrUnavailable))
 }
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -18,7 +18,7 @@
 
 type timedReport struct {
 	at   time.Time
-	load platform.EngineLoad
+	load backing.EngineLoad
 }
 
 // report notes the state for later load reports. Called with mu held.
@@ -34,8 +34,8 @@
 }
 
 // current returns the state now. Called with mu held.
-func (e *Engine) current() platform.EngineLoad {
-	load := platform.EngineLoad{
+func (e *Engine) current() backing.EngineLoad {
+	load := backing.EngineLoad{
 		Role:        e.role,
 		Models:      slices.Sorted(maps.Keys(e.models)),
 		Adapters:    slices.Sorted(maps.Keys(e.adapters)),
@@ -54,15 +54,15 @@
 	return load
 }
 
-// Load implements platform.Engine: the state as it was Options.LoadLag ago.
-func (e *Engine) Load(ctx context.Context) (platform.EngineLoad, error) {
+// Load implements backing.Engine: the state as it was Options.LoadLag ago.
+func (e *Engine) Load(ctx context.Context) (backing.EngineLoad, error) {
 	if err := e.holdIfHung(ctx); err != nil {
-		return platform.EngineLoad{}, err
+		return backing.EngineLoad{}, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed {
-		return platform.EngineLoad{}, errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return backing.EngineLoad{}, errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	}
 	now := time.Now()
 	e.report(now)
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const (
@@ -26,7 +26,7 @@
 type Options struct {
 	Name string
 	// Role is the role at the start (mixed).
-	Role platform.Role
+	Role backing.Role
 	// Models and Adapters ("model/adapter") are loaded at the start.
 	Models   []string
 	Adapters []string
@@ -39,7 +39,7 @@
 	PrefillRate float64
 	// PerSequence is what each decoding sequence adds to a step (300 µs).
 	PerSequence time.Duration
-	// TotalPieces is the memory in pieces of platform.PieceTokens (600).
+	// TotalPieces is the memory in pieces of backing.PieceTokens (600).
 	TotalPieces int
 	// MaxRunning and MaxWaiting bound the batch (64) and the queue (1,024).
 	MaxRunning int
@@ -64,7 +64,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Role = orDefault(o.Role, platform.RoleMixed)
+	o.Role = orDefault(o.Role, backing.RoleMixed)
 	o.Step = orDefault(o.Step, defaultStep)
 	o.PrefillRate = orDefault(o.PrefillRate, defaultPrefillRate)
 	o.PerSequence = orDefault(o.PerSequence, defaultPerSequence)
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -15,11 +15,11 @@
 	err  error
 }
 
-// Apply implements platform.Engine. The same order sent again waits for the
+// Apply implements backing.Engine. The same order sent again waits for the
 // first one's outcome. A different order during one in progress is refused as
 // unavailable, and recorded as overlapping. A role change first takes no new
 // generations, lets all accepted ones end, and then takes Options.RoleChange.
-func (e *Engine) Apply(ctx context.Context, o platform.Order) error {
+func (e *Engine) Apply(ctx context.Context, o backing.Order) error {
 	if err := e.holdIfHung(ctx); err != nil {
 		return err
 	}
@@ -30,20 +30,20 @@
 	select {
 	case <-a.done:
 	case <-ctx.Done():
-		return errors.Wrap(platform.ErrUnknown, ctx.Err().Error())
+		return errors.Wrap(backing.ErrUnknown, ctx.Err().Error())
 	}
 	if err := e.holdIfHung(ctx); err != nil {
 		return err
 	}
 	if lost {
-		return errors.Wrap(platform.ErrUnknown, "answer lost")
+		return errors.Wrap(backing.ErrUnknown, "answer lost")
 	}
 	return a.err
 }
 
 // accept records the order and starts it, or finds the same one from before.
 // lost says that its answer is to be lost.
-func (e *Engine) accept(o platform.Order) (a *application, lost bool, err error) {
+func (e *Engine) accept(o backing.Order) (a *application, lost bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	number := e.recordOrder(o)
@@ -62,34 +62,34 @@
 		return a, lost, nil
 	}
 	if e.applying > 0 {
-		err := errors.Wrap(platform.ErrUnavailable, "another order is in progress")
+		err := errors.Wrap(backing.ErrUnavailable, "another order is in progress")
 		e.recordOrderEnd(number, err)
 		return nil, false, err
 	}
 	a = &application{done: make(chan struct{})}
 	e.applied[o.ID] = a
 	e.applying++
-	e.changing = o.Kind == platform.OrderSetRole && o.Role != e.role
+	e.changing = o.Kind == backing.OrderSetRole && o.Role != e.role
 	e.report(time.Now())
 	go e.apply(o, a, number, e.life)
 	return a, lost, nil
 }
 
 // checkOrder refuses an order. Called with mu held.
-func (e *Engine) checkOrder(o platform.Order) error {
+func (e *Engine) checkOrder(o backing.Order) error {
 	switch {
 	case e.faults.Crashed:
-		return errors.Wrap(platform.ErrUnavailable, "engine crashed")
+		return errors.Wrap(backing.ErrUnavailable, "engine crashed")
 	case e.options.ChecksFencing && o.Fence < e.fence:
-		return errors.Wrapf(platform.ErrFenced, "%d is below %d", o.Fence, e.fence)
+		return errors.Wrapf(backing.ErrFenced, "%d is below %d", o.Fence, e.fence)
 	case e.faults.RefuseOrders:
-		return errors.Wrap(platform.ErrRejected, "engine refuses orders")
+		return errors.Wrap(backing.ErrRejected, "engine refuses orders")
 	}
 	return nil
 }
 
 // apply carries out an accepted order unless the engine crashes first.
-func (e *Engine) apply(o platform.Order, a *application, number int, life chan struct{}) {
+func (e *Engine) apply(o backing.Order, a *application, number int, life chan struct{}) {
 	err := e.carryOut(o, life)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,8 +103,8 @@
 	e.report(time.Now())
 }
 
-func (e *Engine) carryOut(o platform.Order, life chan struct{}) error {
-	if o.Kind == platform.OrderSetRole {
+func (e *Engine) carryOut(o backing.Order, life chan struct{}) error {
+	if o.Kind == backing.OrderSetRole {
 		if err := e.drain(life); err != nil {
 			return err
 		}
@@ -148,19 +148,19 @@
 }
 
 // duration is how long the order takes, zero when it changes nothing.
-func (e *Engine) duration(o platform.Order) time.Duration {
+func (e *Engine) duration(o backing.Order) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch o.Kind {
-	case platform.OrderSetRole:
+	case backing.OrderSetRole:
 		if o.Role != e.role {
 			return e.options.RoleChange
 		}
-	case platform.OrderLoadModel:
+	case backing.OrderLoadModel:
 		if !e.models[o.Model] {
 			return e.options.LoadTime(o.Model, "")
 		}
-	case platform.OrderLoadAdapter:
+	case backing.OrderLoadAdapter:
 		if !e.adapters[adapterName(o.Model, o.Adapter)] {
 			return e.options.LoadTime(o.Model, o.Adapter)
 		}
@@ -169,24 +169,24 @@
 }
 
 // change puts the order into force. Called with mu held.
-func (e *Engine) change(o platform.Order) error {
+func (e *Engine) change(o backing.Order) error {
 	adapter := adapterName(o.Model, o.Adapter)
 	switch o.Kind {
-	case platform.OrderSetRole:
+	case backing.OrderSetRole:
 		if _, ok := chunk[o.Role]; !ok {
-			return errors.Wrapf(platform.ErrRejected, "role %q", o.Role)
+			return errors.Wrapf(backing.ErrRejected, "role %q", o.Role)
 		}
 		e.role = o.Role
-	case platform.OrderLoadModel:
+	case backing.OrderLoadModel:
 		e.models[o.Model] = true
-	case platform.OrderUnloadModel:
+	case backing.OrderUnloadModel:
 		delete(e.models, o.Model)
-	case platform.OrderLoadAdapter:
+	case backing.OrderLoadAdapter:
 		e.adapters[adapter] = true
-	case platform.OrderUnloadAdapter:
+	case backing.OrderUnloadAdapter:
 		delete(e.adapters, adapter)
 	default:
-		return errors.Wrapf(platform.ErrRejected, "order kind %q", o.Kind)
+		return errors.Wrapf(backing.ErrRejected, "order kind %q", o.Kind)
 	}
 	return nil
 }
--- a/internal/standin/engine/order_test.go
+++ b/internal/standin/engine/order_test.go
@@ -5,14 +5,14 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 )
 
-func roleOrder(id string, fence int64, role platform.Role) platform.Order {
-	return platform.Order{ID: id, Fence: fence, Kind: platform.OrderSetRole, Role: role, Issuer: "north"}
+func roleOrder(id string, fence int64, role backing.Role) backing.Order {
+	return backing.Order{ID: id, Fence: fence, Kind: backing.OrderSetRole, Role: role, Issuer: "north"}
 }
 
 func TestRoleChangeCutsNothingAndRefusesNewWork(t *testing.T) {
@@ -21,16 +21,16 @@
 		e := engine.New(engine.Options{Models: []string{"m"}})
 		running := background(e, generation("a", 100, 100))
 		applied := make(chan error, 1)
-		go func() { applied <- e.Apply(t.Context(), roleOrder("o1", 1, platform.RoleDecode)) }()
+		go func() { applied <- e.Apply(t.Context(), roleOrder("o1", 1, backing.RoleDecode)) }()
 		synctest.Wait()
-		is.True(errors.Is(run(e, generation("b", 100, 1), -1).err, platform.ErrUnavailable))
-		is.True(errors.Is(e.Apply(t.Context(), roleOrder("o2", 1, platform.RolePrefill)), platform.ErrUnavailable))
+		is.True(errors.Is(run(e, generation("b", 100, 1), -1).err, backing.ErrUnavailable))
+		is.True(errors.Is(e.Apply(t.Context(), roleOrder("o2", 1, backing.RolePrefill)), backing.ErrUnavailable))
 		is.NoErr((<-running).err)
-		is.Equal(e.Role(), platform.RoleMixed)
+		is.Equal(e.Role(), backing.RoleMixed)
 		start := time.Now()
 		is.NoErr(<-applied)
 		is.Equal(time.Since(start), 5*time.Second)
-		is.Equal(e.Role(), platform.RoleDecode)
+		is.Equal(e.Role(), backing.RoleDecode)
 		orders := e.Record().Orders
 		is.Equal(len(orders), 2)
 		is.True(!orders[0].Overlaps)
@@ -43,10 +43,10 @@
 		is := is.New(t)
 		for _, checks := range []bool{true, false} {
 			e := engine.New(engine.Options{Models: []string{"m"}, ChecksFencing: checks})
-			is.NoErr(e.Apply(t.Context(), roleOrder("new", 7, platform.RoleDecode)))
-			err := e.Apply(t.Context(), roleOrder("old", 6, platform.RoleMixed))
-			is.Equal(errors.Is(err, platform.ErrFenced), checks)
-			is.Equal(e.Role() == platform.RoleDecode, checks)
+			is.NoErr(e.Apply(t.Context(), roleOrder("new", 7, backing.RoleDecode)))
+			err := e.Apply(t.Context(), roleOrder("old", 6, backing.RoleMixed))
+			is.Equal(errors.Is(err, backing.ErrFenced), checks)
+			is.Equal(e.Role() == backing.RoleDecode, checks)
 			is.Equal(e.Record().Orders[1].HighestFence, int64(7))
 		}
 	})
@@ -57,8 +57,8 @@
 		is := is.New(t)
 		e := engine.New(engine.Options{Models: []string{"m"}})
 		e.SetFaults(engine.Faults{LoseOrderAnswers: 1})
-		order := platform.Order{ID: "o1", Kind: platform.OrderLoadModel, Model: "n"}
-		is.True(errors.Is(e.Apply(t.Context(), order), platform.ErrUnknown))
+		order := backing.Order{ID: "o1", Kind: backing.OrderLoadModel, Model: "n"}
+		is.True(errors.Is(e.Apply(t.Context(), order), backing.ErrUnknown))
 		start := time.Now()
 		is.NoErr(e.Apply(t.Context(), order))
 		is.Equal(time.Since(start), time.Duration(0)) // the first one had acted
@@ -66,10 +66,10 @@
 
 		running := background(e, generation("a", 100, 1_000))
 		e.SetFaults(engine.Faults{CrashMidOrder: true})
-		is.True(errors.Is(e.Apply(t.Context(), platform.Order{ID: "o2", Kind: platform.OrderLoadModel, Model: "p"}), platform.ErrUnknown))
-		is.True(errors.Is((<-running).err, platform.ErrUnknown))
+		is.True(errors.Is(e.Apply(t.Context(), backing.Order{ID: "o2", Kind: backing.OrderLoadModel, Model: "p"}), backing.ErrUnknown))
+		is.True(errors.Is((<-running).err, backing.ErrUnknown))
 		_, err := e.Load(t.Context())
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, backing.ErrUnavailable))
 		e.SetFaults(engine.Faults{})
 		time.Sleep(time.Second)
 		load, err := e.Load(t.Context())
@@ -86,7 +86,7 @@
 		time.Sleep(time.Second)
 		e.SetFaults(engine.Faults{Hung: true})
 		late := make(chan error, 1)
-		go func() { late <- e.Apply(t.Context(), roleOrder("o", 1, platform.RoleDecode)) }()
+		go func() { late <- e.Apply(t.Context(), roleOrder("o", 1, backing.RoleDecode)) }()
 		time.Sleep(time.Hour)
 		is.Equal(len(e.Record().Orders), 0)
 		select {
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // GenerationRecord is one generation that the engine received.
@@ -15,7 +15,7 @@
 	Prompt   uint64 `json:"prompt"`
 	Priority int    `json:"priority"`
 	Resume   int    `json:"resume"`
-	// PromptTokens, OutputTokens and CachedTokens are as in platform.Finish.
+	// PromptTokens, OutputTokens and CachedTokens are as in backing.Finish.
 	PromptTokens int       `json:"prompt_tokens"`
 	OutputTokens int       `json:"output_tokens"`
 	CachedTokens int       `json:"cached_tokens"`
@@ -33,7 +33,7 @@
 
 // OrderRecord is one order that the engine received.
 type OrderRecord struct {
-	platform.Order
+	backing.Order
 	Start time.Time `json:"start"`
 	End   time.Time `json:"end,omitzero"`
 	// Result is "done" or the error once it has ended.
@@ -93,7 +93,7 @@
 }
 
 // recordOrder is called with mu held.
-func (e *Engine) recordOrder(o platform.Order) int {
+func (e *Engine) recordOrder(o backing.Order) int {
 	return e.orders.Add(OrderRecord{
 		Order: o, Start: time.Now(), HighestFence: e.received,
 		Overlaps: e.applying > 0 && e.applied[o.ID] == nil,
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // sequence is one generation in the engine. The engine's lock guards it, but
 // for its fixed fields.
 type sequence struct {
 	// Fixed.
-	request  platform.Generation
+	request  backing.Generation
 	seed     uint64
 	prompt   int
 	length   int
@@ -29,22 +29,22 @@
 	// next is the index of the next token to generate.
 	next int
 	// out holds generated tokens that the caller has not taken.
-	out     []platform.Token
+	out     []backing.Token
 	started bool
 	done    bool
-	finish  platform.Finish
+	finish  backing.Finish
 	err     error
 	// ready is told whenever out, done or err changes.
 	ready chan struct{}
 	since time.Time
 }
 
-func (e *Engine) newSequence(g platform.Generation) *sequence {
+func (e *Engine) newSequence(g backing.Generation) *sequence {
 	s := &sequence{
 		request:  g,
 		seed:     Seed(g.Model, g.Adapter, g.Prompt),
-		prompt:   platform.Tokens(g.Prompt),
-		prefixes: platform.PrefixHashes(g.Model, g.Prompt),
+		prompt:   backing.Tokens(g.Prompt),
+		prefixes: backing.PrefixHashes(g.Model, g.Prompt),
 		next:     g.Resume,
 		ready:    make(chan struct{}, 1),
 		since:    time.Now(),
@@ -58,7 +58,7 @@
 }
 
 func pieces(tokens int) int {
-	return (tokens + platform.PieceTokens - 1) / platform.PieceTokens
+	return (tokens + backing.PieceTokens - 1) / backing.PieceTokens
 }
 
 func (s *sequence) wake() {
@@ -75,7 +75,7 @@
 	}
 	s.done = true
 	s.err = err
-	s.finish = platform.Finish{
+	s.finish = backing.Finish{
 		Reason:       s.reason,
 		PromptTokens: s.prompt,
 		OutputTokens: s.next,
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -5,15 +5,15 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // chunk is how many prompt tokens one step prefills by role, when sequences
 // decode beside it and when none does.
-var chunk = map[platform.Role]struct{ busy, alone int }{
-	platform.RoleMixed:   {busy: 256, alone: 2_048},
-	platform.RolePrefill: {busy: 4_096, alone: 4_096},
-	platform.RoleDecode:  {busy: 64, alone: 512},
+var chunk = map[backing.Role]struct{ busy, alone int }{
+	backing.RoleMixed:   {busy: 256, alone: 2_048},
+	backing.RolePrefill: {busy: 4_096, alone: 4_096},
+	backing.RoleDecode:  {busy: 64, alone: 512},
 }
 
 // hungStep is how often a hung engine looks whether it may go on.
@@ -70,7 +70,7 @@
 		e.running = append(e.running, s)
 		s.started = true
 		s.shared = hits
-		e.skipPrefill(s, hits*platform.PieceTokens)
+		e.skipPrefill(s, hits*backing.PieceTokens)
 	}
 }
 
@@ -157,7 +157,7 @@
 		s.shared += e.memory.publish(s.prefixes[s.shared:])
 	}
 	if s.next < s.length {
-		s.out = append(s.out, platform.Token{Index: s.next, Text: tokenText(s.seed, s.next)})
+		s.out = append(s.out, backing.Token{Index: s.next, Text: tokenText(s.seed, s.next)})
 		s.next++
 		s.wake()
 	}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // stream writes the lines of one generation.
@@ -12,21 +12,21 @@
 	flush func() error
 }
 
-func (s stream) send(line platform.GenerateLine) error {
+func (s stream) send(line backing.GenerateLine) error {
 	if err := s.w.Encode(line); err != nil {
 		return err
 	}
 	return s.flush()
 }
 
-func (s stream) token(t platform.Token) error { return s.send(platform.GenerateLine{Token: &t}) }
+func (s stream) token(t backing.Token) error { return s.send(backing.GenerateLine{Token: &t}) }
 
-func (s stream) beat() error { return s.send(platform.GenerateLine{}) }
+func (s stream) beat() error { return s.send(backing.GenerateLine{}) }
 
-func (s stream) end(f platform.Finish, err error) error {
+func (s stream) end(f backing.Finish, err error) error {
 	if err == nil {
-		return s.send(platform.GenerateLine{Finish: &f})
+		return s.send(backing.GenerateLine{Finish: &f})
 	}
-	_, body := platform.EncodeError(err)
-	return s.send(platform.GenerateLine{Error: &body})
+	_, body := backing.EncodeError(err)
+	return s.send(backing.GenerateLine{Error: &body})
 }
--- a/internal/standin/engine/token.go
+++ b/internal/standin/engine/token.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -63,7 +63,7 @@
 }
 
 // answerLength returns how long an answer is and why it ends.
-func (o Options) answerLength(g platform.Generation, seed uint64) (int, string) {
+func (o Options) answerLength(g backing.Generation, seed uint64) (int, string) {
 	if g.MaxTokens <= 0 {
 		return defaultOutputTokens, "stop"
 	}
--- a/internal/standin/fault/switch.go
+++ b/internal/standin/fault/switch.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -63,7 +63,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		settings := s.Settings()
 		if settings.Down {
-			jsonhttp.Fail(w, errors.Wrap(platform.ErrUnavailable, "service is down"))
+			jsonhttp.Fail(w, errors.Wrap(backing.ErrUnavailable, "service is down"))
 			return
 		}
 		body, ok := jsonhttp.Bytes(w, r)
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -1,6 +1,6 @@
 // Package hostlist is a stand-in for the platform's lagging list of live and
-// leaving hosts. A List is a platform.HostList itself and also serves the wire
-// format of platform.HTTPHostList.
+// leaving hosts. A List is a backing.HostList itself and also serves the wire
+// format of backing.HTTPHostList.
 package hostlist
 
 import (
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/acacialink/acacialink/internal/standin/record"
@@ -23,7 +23,7 @@
 	// Lag is how old the list is that callers get.
 	Lag time.Duration
 	// Hosts are in the list at the start.
-	Hosts []platform.Host
+	Hosts []backing.Host
 }
 
 // List holds the hosts and their past.
@@ -34,7 +34,7 @@
 
 	// mu guards all below.
 	mu    sync.Mutex
-	hosts map[string]platform.Host
+	hosts map[string]backing.Host
 	// past holds the versions that callers may still get, oldest first.
 	past []version
 }
@@ -42,7 +42,7 @@
 // Change is one change of the list.
 type Change struct {
 	At time.Time `json:"at"`
-	platform.Host
+	backing.Host
 	Removed bool `json:"removed,omitempty"`
 }
 
@@ -51,14 +51,14 @@
 
 type version struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []backing.Host
 }
 
-var _ platform.HostList = (*List)(nil)
+var _ backing.HostList = (*List)(nil)
 
 // New returns a list.
 func New(o Options) *List {
-	l := &List{lag: o.Lag, switches: fault.New(0), hosts: make(map[string]platform.Host)}
+	l := &List{lag: o.Lag, switches: fault.New(0), hosts: make(map[string]backing.Host)}
 	for _, h := range o.Hosts {
 		l.hosts[h.Name] = h
 	}
@@ -67,7 +67,7 @@
 }
 
 // Set adds or changes a host.
-func (l *List) Set(h platform.Host) {
+func (l *List) Set(h backing.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts[h.Name] = h
@@ -86,11 +86,11 @@
 
 // keep notes the present version. Called with mu held.
 func (l *List) keep() {
-	hosts := make([]platform.Host, 0, len(l.hosts))
+	hosts := make([]backing.Host, 0, len(l.hosts))
 	for _, h := range l.hosts {
 		hosts = append(hosts, h)
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(hosts, func(a, b backing.Host) int { return cmp.Compare(a.Name, b.Name) })
 	l.past = append(l.past, version{at: time.Now(), hosts: hosts})
 	l.prune()
 }
@@ -102,8 +102,8 @@
 	}
 }
 
-// Hosts implements platform.HostList: the list as it was Options.Lag ago.
-func (l *List) Hosts(context.Context) ([]platform.Host, error) {
+// Hosts implements backing.HostList: the list as it was Options.Lag ago.
+func (l *List) Hosts(context.Context) ([]backing.Host, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune()
@@ -130,7 +130,7 @@
 }
 
 func (l *List) serveSet(w http.ResponseWriter, r *http.Request) {
-	var h platform.Host
+	var h backing.Host
 	if jsonhttp.Read(w, r, &h) {
 		h.Name = mux.Vars(r)["name"]
 		l.Set(h)
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/hostlist"
 	"github.com/matryer/is"
 )
@@ -13,14 +13,14 @@
 func TestListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		host := platform.Host{Name: "a", State: platform.HostLive}
-		l := hostlist.New(hostlist.Options{Lag: 10 * time.Second, Hosts: []platform.Host{host}})
+		host := backing.Host{Name: "a", State: backing.HostLive}
+		l := hostlist.New(hostlist.Options{Lag: 10 * time.Second, Hosts: []backing.Host{host}})
 		time.Sleep(time.Minute)
-		host.State = platform.HostLeaving
+		host.State = backing.HostLeaving
 		l.Set(host)
 		time.Sleep(5 * time.Second)
 		l.Remove("a")
-		state := func() platform.HostState {
+		state := func() backing.HostState {
 			hosts, err := l.Hosts(t.Context())
 			is.NoErr(err)
 			if len(hosts) == 0 {
@@ -28,10 +28,10 @@
 			}
 			return hosts[0].State
 		}
-		is.Equal(state(), platform.HostLive)
+		is.Equal(state(), backing.HostLive)
 		time.Sleep(5 * time.Second)
-		is.Equal(state(), platform.HostLeaving)
+		is.Equal(state(), backing.HostLeaving)
 		time.Sleep(5 * time.Second)
-		is.Equal(state(), platform.HostState(""))
+		is.Equal(state(), backing.HostState(""))
 	})
 }
--- a/internal/standin/jsonhttp/jsonhttp.go
+++ b/internal/standin/jsonhttp/jsonhttp.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -21,7 +21,7 @@
 		err = json.Unmarshal(body, v)
 	}
 	if err != nil {
-		Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		Fail(w, errors.Wrap(backing.ErrRejected, err.Error()))
 		return false
 	}
 	return true
@@ -32,7 +32,7 @@
 func Bytes(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		Fail(w, errors.Wrap(platform.ErrRejected, err.Error()))
+		Fail(w, errors.Wrap(backing.ErrRejected, err.Error()))
 		return nil, false
 	}
 	return body, true
@@ -52,7 +52,7 @@
 
 // Fail answers with err's status and body.
 func Fail(w http.ResponseWriter, err error) {
-	status, body := platform.EncodeError(err)
+	status, body := backing.EncodeError(err)
 	write(w, status, body)
 }
 
--- a/internal/standin/kv/call.go
+++ b/internal/standin/kv/call.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -50,11 +50,11 @@
 	s.mu.Unlock()
 	switch {
 	case down:
-		return 0, errors.Wrap(platform.ErrUnavailable, "store is down")
+		return 0, errors.Wrap(backing.ErrUnavailable, "store is down")
 	case silent:
 		return 0, silence(ctx, op)
 	case limited:
-		return 0, errors.Wrap(platform.ErrUnavailable, "rate limit")
+		return 0, errors.Wrap(backing.ErrUnavailable, "rate limit")
 	}
 	delay := all.delay
 	if own.delay > delay {
@@ -102,9 +102,9 @@
 // write may have had one.
 func lostAnswer(op Op, text string) error {
 	if op.writes() {
-		return errors.Wrap(platform.ErrUnknown, text)
+		return errors.Wrap(backing.ErrUnknown, text)
 	}
-	return errors.Wrap(platform.ErrUnavailable, text)
+	return errors.Wrap(backing.ErrUnavailable, text)
 }
 
 func silence(ctx context.Context, op Op) error {
--- a/internal/standin/kv/client.go
+++ b/internal/standin/kv/client.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
@@ -20,30 +20,30 @@
 	shared *Faults
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ backing.Store = (*Client)(nil)
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	var item platform.KeyValue
+// Get implements backing.Store.
+func (c *Client) Get(ctx context.Context, key string) (backing.KeyValue, error) {
+	var item backing.KeyValue
 	err := c.call(ctx, OpGet, key, func(s *Store) error {
 		found, ok := s.keys[key]
 		if !ok {
-			return platform.ErrNotFound
+			return backing.ErrNotFound
 		}
 		item = found
 		item.Value = bytes.Clone(found.Value)
 		return nil
 	})
 	if err != nil {
-		return platform.KeyValue{}, err
+		return backing.KeyValue{}, err
 	}
 	return item, nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.KeyValue, platform.Revision, error) {
-	var items []platform.KeyValue
-	var revision platform.Revision
+// List implements backing.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]backing.KeyValue, backing.Revision, error) {
+	var items []backing.KeyValue
+	var revision backing.Revision
 	err := c.call(ctx, OpList, prefix, func(s *Store) error {
 		revision = s.revision
 		for key, item := range s.keys {
@@ -57,22 +57,22 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	slices.SortFunc(items, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(items, func(a, b backing.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	return items, revision, nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, id platform.LeaseID) (platform.Revision, error) {
-	var revision platform.Revision
+// CompareAndSwap implements backing.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect backing.Revision, value []byte, id backing.LeaseID) (backing.Revision, error) {
+	var revision backing.Revision
 	err := c.call(ctx, OpCAS, key, func(s *Store) error {
-		if key == "" || len(value) > platform.MaxValueBytes {
-			return errors.Wrap(platform.ErrRejected, "empty key or value above 1 MB")
+		if key == "" || len(value) > backing.MaxValueBytes {
+			return errors.Wrap(backing.ErrRejected, "empty key or value above 1 MB")
 		}
 		if id != 0 && s.liveLease(id) == nil {
-			return platform.ErrLeaseExpired
+			return backing.ErrLeaseExpired
 		}
 		if s.keys[key].Revision != expect {
-			return platform.ErrConflict
+			return backing.ErrConflict
 		}
 		revision = s.put(c.name, key, value, id)
 		return nil
@@ -83,12 +83,12 @@
 	return revision, nil
 }
 
-// Delete implements platform.Store. An absent key has the revision zero.
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Revision) error {
+// Delete implements backing.Store. An absent key has the revision zero.
+func (c *Client) Delete(ctx context.Context, key string, expect backing.Revision) error {
 	return c.call(ctx, OpDelete, key, func(s *Store) error {
 		item, ok := s.keys[key]
 		if item.Revision != expect {
-			return platform.ErrConflict
+			return backing.ErrConflict
 		}
 		if ok {
 			s.remove(c.name, key, false)
@@ -97,46 +97,46 @@
 	})
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
-	var granted platform.Lease
+// Grant implements backing.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (backing.Lease, error) {
+	var granted backing.Lease
 	err := c.call(ctx, OpGrant, "", func(s *Store) error {
 		if ttl <= 0 {
-			return errors.Wrap(platform.ErrRejected, "lease without a duration")
+			return errors.Wrap(backing.ErrRejected, "lease without a duration")
 		}
-		granted = platform.Lease{ID: s.grant(ttl).id, TTL: ttl}
+		granted = backing.Lease{ID: s.grant(ttl).id, TTL: ttl}
 		return nil
 	})
 	if err != nil {
-		return platform.Lease{}, err
+		return backing.Lease{}, err
 	}
 	return granted, nil
 }
 
-// KeepAlive implements platform.Store.
-func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) (platform.Lease, error) {
-	var renewed platform.Lease
+// KeepAlive implements backing.Store.
+func (c *Client) KeepAlive(ctx context.Context, id backing.LeaseID) (backing.Lease, error) {
+	var renewed backing.Lease
 	err := c.call(ctx, OpKeepAlive, "", func(s *Store) error {
 		l := s.liveLease(id)
 		if l == nil {
-			return platform.ErrLeaseExpired
+			return backing.ErrLeaseExpired
 		}
 		s.renew(l)
-		renewed = platform.Lease{ID: id, TTL: l.ttl}
+		renewed = backing.Lease{ID: id, TTL: l.ttl}
 		return nil
 	})
 	if err != nil {
-		return platform.Lease{}, err
+		return backing.Lease{}, err
 	}
 	return renewed, nil
 }
 
-// Revoke implements platform.Store. An unknown lease is platform.ErrNotFound.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements backing.Store. An unknown lease is backing.ErrNotFound.
+func (c *Client) Revoke(ctx context.Context, id backing.LeaseID) error {
 	return c.call(ctx, OpRevoke, "", func(s *Store) error {
 		l := s.liveLease(id)
 		if l == nil {
-			return platform.ErrNotFound
+			return backing.ErrNotFound
 		}
 		s.endLease(l, false)
 		return nil
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// SetDown makes every call fail at once with platform.ErrUnavailable, waiting
+// SetDown makes every call fail at once with backing.ErrUnavailable, waiting
 // watches included. Leases go on running out.
 func (f *Faults) SetDown(down bool) {
 	f.mu.Lock()
@@ -56,7 +56,7 @@
 }
 
 // LoseNext loses the answers of the next n writes: they take effect and the
-// caller gets platform.ErrUnknown.
+// caller gets backing.ErrUnknown.
 func (f *Faults) LoseNext(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -19,16 +19,16 @@
 	first, err := s.CompareAndSwap(ctx, "config/head", 0, []byte("1"), 0)
 	is.NoErr(err)
 	_, err = s.CompareAndSwap(ctx, "config/head", 0, []byte("2"), 0)
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, backing.ErrConflict))
 	_, err = s.CompareAndSwap(ctx, "config/head", first, []byte("2"), 0)
 	is.NoErr(err)
-	is.True(errors.Is(s.Delete(ctx, "config/head", first), platform.ErrConflict))
+	is.True(errors.Is(s.Delete(ctx, "config/head", first), backing.ErrConflict))
 	item, err := s.Get(ctx, "config/head")
 	is.NoErr(err)
 	is.Equal(string(item.Value), "2")
-	big := make([]byte, platform.MaxValueBytes+1)
+	big := make([]byte, backing.MaxValueBytes+1)
 	_, err = s.CompareAndSwap(ctx, "big", 0, big, 0)
-	is.True(errors.Is(err, platform.ErrRejected))
+	is.True(errors.Is(err, backing.ErrRejected))
 	is.Equal(s.Counts().ByPrefix["config"][kv.OpCAS], int64(3))
 }
 
@@ -49,11 +49,11 @@
 		is.NoErr(err) // renewed at 4 s, so it is held until 9 s
 		time.Sleep(2 * time.Second)
 		_, err = s.Get(ctx, "lease/role")
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, backing.ErrNotFound))
 		_, err = s.KeepAlive(ctx, l.ID)
-		is.True(errors.Is(err, platform.ErrLeaseExpired))
+		is.True(errors.Is(err, backing.ErrLeaseExpired))
 		_, err = s.CompareAndSwap(ctx, "lease/role", 0, nil, l.ID)
-		is.True(errors.Is(err, platform.ErrLeaseExpired))
+		is.True(errors.Is(err, backing.ErrLeaseExpired))
 	})
 }
 
@@ -73,21 +73,21 @@
 		is.Equal(time.Since(start), 3*time.Second)
 		is.Equal(len(events), 1)
 		is.Equal(events[0].Key, "config/a")
-		is.Equal(revision, platform.Revision(2))
+		is.Equal(revision, backing.Revision(2))
 		_, revision, err = s.Watch(ctx, "config/", revision, time.Second)
 		is.NoErr(err)
-		is.Equal(revision, platform.Revision(2))
+		is.Equal(revision, backing.Revision(2))
 		_, err = s.CompareAndSwap(ctx, "config/b", 0, nil, 0)
 		is.NoErr(err)
 		_, _, err = s.Watch(ctx, "config/", 0, time.Second)
-		is.True(errors.Is(err, platform.ErrCompacted))
+		is.True(errors.Is(err, backing.ErrCompacted))
 		go func() {
 			time.Sleep(time.Second)
 			is.Equal(s.Counts().Waiting, 1)
 			s.SetDown(true)
 		}()
 		_, _, err = s.Watch(ctx, "config/", 3, time.Minute)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, backing.ErrUnavailable))
 	})
 }
 
@@ -100,19 +100,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		_, err := north.CompareAndSwap(ctx, "a", 0, nil, 0)
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, backing.ErrUnknown))
 		_, err = south.Get(context.Background(), "a")
-		is.True(errors.Is(err, platform.ErrNotFound)) // a silent store did not act
+		is.True(errors.Is(err, backing.ErrNotFound)) // a silent store did not act
 		south.LoseNext(1)
 		_, err = south.CompareAndSwap(context.Background(), "a", 0, nil, 0)
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, backing.ErrUnknown))
 		_, err = s.Get(context.Background(), "a")
 		is.NoErr(err) // the write whose answer was lost took effect
 		is.Equal(s.Record()[0].Client, "south")
 		is.Equal(s.Counts().Lost, int64(1))
 		s.SetDown(true)
 		_, err = south.Get(context.Background(), "a")
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, backing.ErrUnavailable))
 	})
 }
 
@@ -126,7 +126,7 @@
 			is.NoErr(err)
 		}
 		_, err := s.Grant(ctx, time.Minute)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, backing.ErrUnavailable))
 		time.Sleep(time.Second)
 		_, err = s.Grant(ctx, time.Minute)
 		is.NoErr(err)
--- a/internal/standin/kv/late.go
+++ b/internal/standin/kv/late.go
@@ -3,7 +3,7 @@
 import "time"
 
 // DelayWrites lets each write, with probability p, take effect only d after
-// its caller got platform.ErrUnknown, as a packet that was held up on its way.
+// its caller got backing.ErrUnknown, as a packet that was held up on its way.
 func (f *Faults) DelayWrites(p float64, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/kv/late_test.go
+++ b/internal/standin/kv/late_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
 
@@ -20,9 +20,9 @@
 		s := kv.New(kv.Options{})
 		s.DelayWrites(1, time.Second)
 		_, err := s.CompareAndSwap(ctx, "a", 0, []byte("late"), 0)
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, backing.ErrUnknown))
 		_, err = s.Get(ctx, "a")
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, backing.ErrNotFound))
 		time.Sleep(2 * time.Second)
 		item, err := s.Get(ctx, "a")
 		is.NoErr(err)
--- a/internal/standin/kv/lease.go
+++ b/internal/standin/kv/lease.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // lease is a granted lease. The store's lock guards it.
 type lease struct {
-	id      platform.LeaseID
+	id      backing.LeaseID
 	ttl     time.Duration
 	expires time.Time
 	timer   *time.Timer
@@ -31,7 +31,7 @@
 }
 
 // liveLease returns the lease if it has not run out. Called with mu held.
-func (s *Store) liveLease(id platform.LeaseID) *lease {
+func (s *Store) liveLease(id backing.LeaseID) *lease {
 	l := s.leases[id]
 	if l == nil {
 		return nil
--- a/internal/standin/kv/options.go
+++ b/internal/standin/kv/options.go
@@ -14,7 +14,7 @@
 	// RecordWrites is how many writes the record holds; zero means 100,000.
 	RecordWrites int
 	// WritesPerSecond and ReadsPerSecond refuse calls above the rate with
-	// platform.ErrUnavailable; zero means no limit. A watch is a read.
+	// backing.ErrUnavailable; zero means no limit. A watch is a read.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
 	// Seed fixes which answers LoseAnswers loses.
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -7,14 +7,14 @@
 import (
 	"sync"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // view lets Store embed a Client beside its method of that name.
 type view = Client
 
 // Store holds the keys. Its embedded view is the client without a name, so
-// a Store is a platform.Store itself, and its Faults apply to all clients.
+// a Store is a backing.Store itself, and its Faults apply to all clients.
 type Store struct {
 	*view
 	options Options
@@ -22,12 +22,12 @@
 
 	// mu guards all below.
 	mu        sync.Mutex
-	keys      map[string]platform.KeyValue
-	revision  platform.Revision
-	history   []platform.Event
-	compacted platform.Revision
-	leases    map[platform.LeaseID]*lease
-	lastLease platform.LeaseID
+	keys      map[string]backing.KeyValue
+	revision  backing.Revision
+	history   []backing.Event
+	compacted backing.Revision
+	leases    map[backing.LeaseID]*lease
+	lastLease backing.LeaseID
 	watchers  map[*watcher]struct{}
 	counts    Counts
 	reads     bucket
@@ -36,7 +36,7 @@
 	clients   map[string]*Client
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ backing.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(o Options) *Store {
@@ -44,8 +44,8 @@
 	s := &Store{
 		options:  o,
 		shared:   newFaults(o.Seed),
-		keys:     make(map[string]platform.KeyValue),
-		leases:   make(map[platform.LeaseID]*lease),
+		keys:     make(map[string]backing.KeyValue),
+		leases:   make(map[backing.LeaseID]*lease),
 		watchers: make(map[*watcher]struct{}),
 		counts:   newCounts(),
 		reads:    newBucket(o.ReadsPerSecond),
@@ -84,14 +84,14 @@
 }
 
 // Revision returns the store's revision.
-func (s *Store) Revision() platform.Revision {
+func (s *Store) Revision() backing.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
 }
 
 // Compact forgets all events, so that watches from an earlier revision get
-// platform.ErrCompacted.
+// backing.ErrCompacted.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/kv/watch.go
+++ b/internal/standin/kv/watch.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/pkg/errors"
 )
 
-// Watch implements platform.Store. It is one call, however long it waits.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+// Watch implements backing.Store. It is one call, however long it waits.
+func (c *Client) Watch(ctx context.Context, prefix string, after backing.Revision, wait time.Duration) ([]backing.Event, backing.Revision, error) {
 	delay, err := c.begin(ctx, OpWatch, prefix)
 	if err != nil {
 		return nil, 0, err
@@ -24,7 +24,7 @@
 	return events, revision, err
 }
 
-func (c *Client) waitEvents(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+func (c *Client) waitEvents(ctx context.Context, prefix string, after backing.Revision, wait time.Duration) ([]backing.Event, backing.Revision, error) {
 	w := newWatcher(prefix)
 	c.store.addWatcher(w)
 	defer c.store.removeWatcher(w)
@@ -33,7 +33,7 @@
 	for over := wait <= 0; ; {
 		own, all := c.state(), c.shared.state()
 		if own.down || all.down || own.silent || all.silent {
-			return nil, 0, errors.Wrap(platform.ErrUnavailable, "store went away during the watch")
+			return nil, 0, errors.Wrap(backing.ErrUnavailable, "store went away during the watch")
 		}
 		events, revision, err := c.store.poll(prefix, after)
 		if err != nil || len(events) > 0 || over {
@@ -46,12 +46,12 @@
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
-			return nil, 0, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+			return nil, 0, errors.Wrap(backing.ErrUnavailable, ctx.Err().Error())
 		}
 	}
 }
 
-func (s *Store) poll(prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
+func (s *Store) poll(prefix string, after backing.Revision) ([]backing.Event, backing.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.eventsAfter(prefix, after)
--- a/internal/standin/kv/watcher.go
+++ b/internal/standin/kv/watcher.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // watcher is one waiting watch.
@@ -27,12 +27,12 @@
 
 // eventsAfter returns the events with the prefix that are later than after,
 // and the revision to go on from. Called with mu held.
-func (s *Store) eventsAfter(prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
+func (s *Store) eventsAfter(prefix string, after backing.Revision) ([]backing.Event, backing.Revision, error) {
 	if after < s.compacted {
-		return nil, 0, platform.ErrCompacted
+		return nil, 0, backing.ErrCompacted
 	}
 	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
-	var events []platform.Event
+	var events []backing.Event
 	for _, e := range s.history[start:] {
 		if !strings.HasPrefix(e.Key, prefix) {
 			continue
--- a/internal/standin/kvserver/bench_test.go
+++ b/internal/standin/kvserver/bench_test.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 	"github.com/acacialink/acacialink/internal/standin/kvserver"
 )
 
-func benchmarkWrites(b *testing.B, s platform.Store) {
+func benchmarkWrites(b *testing.B, s backing.Store) {
 	for i := 0; b.Loop(); i++ {
 		if _, err := s.CompareAndSwap(b.Context(), strconv.Itoa(i), 0, []byte("value"), 0); err != nil {
 			b.Fatal(err)
@@ -24,6 +24,6 @@
 	b.Run("http", func(b *testing.B) {
 		server := httptest.NewServer(kvserver.New(kvserver.Options{}).Handler())
 		defer server.Close()
-		benchmarkWrites(b, platform.NewHTTPStore(server.URL, nil))
+		benchmarkWrites(b, backing.NewHTTPStore(server.URL, nil))
 	})
 }
--- a/internal/standin/kvserver/kvserver.go
+++ b/internal/standin/kvserver/kvserver.go
@@ -1,12 +1,12 @@
 // Package kvserver serves the stand-in of the key-value service over HTTP, in
-// the wire format of platform.HTTPStore.
+// the wire format of backing.HTTPStore.
 package kvserver
 
 import (
 	"net/http"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/acacialink/acacialink/internal/standin/kv"
@@ -57,11 +57,11 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	var in platform.StoreCall
+	var in backing.StoreCall
 	if !jsonhttp.Read(w, r, &in) {
 		return
 	}
-	var client platform.Store = s.store
+	var client backing.Store = s.store
 	if name := mux.Vars(r)["client"]; name != "" {
 		client = s.store.Client(name)
 	}
--- a/internal/standin/named.go
+++ b/internal/standin/named.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/engine"
 	"github.com/acacialink/acacialink/internal/standin/hostlist"
 	"github.com/acacialink/acacialink/internal/standin/kv"
@@ -25,7 +25,7 @@
 	// ChecksFencing is also the provider's.
 	Models        []string
 	Adapters      []string
-	Role          platform.Role
+	Role          backing.Role
 	ChecksFencing bool
 	// WritesPerSecond and ReadsPerSecond are the store's rates, zero for none.
 	WritesPerSecond float64
--- a/internal/standin/provider/handler.go
+++ b/internal/standin/provider/handler.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/gorilla/mux"
 )
@@ -25,7 +25,7 @@
 }
 
 func (p *Provider) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.EndpointOrder
+	var o backing.EndpointOrder
 	if jsonhttp.Read(w, r, &o) {
 		e, err := p.Order(r.Context(), o)
 		jsonhttp.Answer(w, e, err)
@@ -38,7 +38,7 @@
 }
 
 func (p *Provider) serveReturn(w http.ResponseWriter, r *http.Request) {
-	var c platform.ReturnCall
+	var c backing.ReturnCall
 	if jsonhttp.Read(w, r, &c) {
 		jsonhttp.Answer(w, struct{}{}, p.Return(r.Context(), c.OrderID, c.Fence, c.Issuer))
 	}
--- a/internal/standin/provider/options.go
+++ b/internal/standin/provider/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const (
@@ -20,7 +20,7 @@
 	ChecksFencing bool
 	// Start, when not nil, is called once an ordered endpoint's time has come
 	// and returns its agent's address. Stop is called when it is returned.
-	Start func(platform.EndpointOrder) string
+	Start func(backing.EndpointOrder) string
 	Stop  func(orderID string)
 	// Seed fixes which answers the fault switch loses.
 	Seed uint64
--- a/internal/standin/provider/provider.go
+++ b/internal/standin/provider/provider.go
@@ -1,6 +1,6 @@
 // Package provider is a stand-in for the platform's interface that orders and
-// returns endpoints by failure domain. A Provider is a platform.Provider
-// itself and also serves the wire format of platform.HTTPProvider.
+// returns endpoints by failure domain. A Provider is a backing.Provider
+// itself and also serves the wire format of backing.HTTPProvider.
 package provider
 
 import (
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/record"
 	"github.com/pkg/errors"
@@ -30,10 +30,10 @@
 	full map[string]bool
 }
 
-var _ platform.Provider = (*Provider)(nil)
+var _ backing.Provider = (*Provider)(nil)
 
 type endpoint struct {
-	platform.ProvidedEndpoint
+	backing.ProvidedEndpoint
 	timer *time.Timer
 	ended time.Time
 }
@@ -51,8 +51,8 @@
 	}
 }
 
-// Order implements platform.Provider.
-func (p *Provider) Order(_ context.Context, o platform.EndpointOrder) (platform.ProvidedEndpoint, error) {
+// Order implements backing.Provider.
+func (p *Provider) Order(_ context.Context, o backing.EndpointOrder) (backing.ProvidedEndpoint, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, repeat := p.endpoints[o.ID]
@@ -62,22 +62,22 @@
 }
 
 // order is called with mu held.
-func (p *Provider) order(o platform.EndpointOrder) (platform.ProvidedEndpoint, error) {
+func (p *Provider) order(o backing.EndpointOrder) (backing.ProvidedEndpoint, error) {
 	if err := p.checkFence(o.Fence); err != nil {
-		return platform.ProvidedEndpoint{}, err
+		return backing.ProvidedEndpoint{}, err
 	}
 	if e := p.endpoints[o.ID]; e != nil {
 		return e.ProvidedEndpoint, nil
 	}
 	if o.ID == "" || o.Domain == "" {
-		return platform.ProvidedEndpoint{}, errors.Wrap(platform.ErrRejected, "order without id or domain")
+		return backing.ProvidedEndpoint{}, errors.Wrap(backing.ErrRejected, "order without id or domain")
 	}
 	if p.full[o.Domain] {
-		return platform.ProvidedEndpoint{}, errors.Wrapf(platform.ErrUnavailable, "no capacity in %s", o.Domain)
+		return backing.ProvidedEndpoint{}, errors.Wrapf(backing.ErrUnavailable, "no capacity in %s", o.Domain)
 	}
-	e := &endpoint{ProvidedEndpoint: platform.ProvidedEndpoint{
+	e := &endpoint{ProvidedEndpoint: backing.ProvidedEndpoint{
 		OrderID: o.ID, Domain: o.Domain, Pool: o.Pool,
-		State: platform.ProvidedStarting, Since: time.Now(),
+		State: backing.ProvidedStarting, Since: time.Now(),
 	}}
 	p.endpoints[o.ID] = e
 	e.timer = time.AfterFunc(p.options.StartTime, func() { p.started(o, e) })
@@ -85,15 +85,15 @@
 }
 
 // started runs when an endpoint's start time is over.
-func (p *Provider) started(o platform.EndpointOrder, e *endpoint) {
+func (p *Provider) started(o backing.EndpointOrder, e *endpoint) {
 	agent := ""
 	if p.options.Start != nil {
 		agent = p.options.Start(o)
 	}
 	p.mu.Lock()
-	running := e.State == platform.ProvidedStarting
+	running := e.State == backing.ProvidedStarting
 	if running {
-		e.State = platform.ProvidedRunning
+		e.State = backing.ProvidedRunning
 		e.Agent = agent
 	}
 	p.mu.Unlock()
@@ -102,14 +102,14 @@
 	}
 }
 
-// Return implements platform.Provider.
+// Return implements backing.Provider.
 func (p *Provider) Return(_ context.Context, orderID string, fence int64, issuer string) error {
 	p.mu.Lock()
 	err := p.checkFence(fence)
 	if err == nil {
-		err = p.end(orderID, platform.ProvidedReturned)
+		err = p.end(orderID, backing.ProvidedReturned)
 	}
-	o := platform.EndpointOrder{ID: orderID, Fence: fence, Issuer: issuer}
+	o := backing.EndpointOrder{ID: orderID, Fence: fence, Issuer: issuer}
 	p.addRecord(Order{Kind: "return", EndpointOrder: o}, err)
 	p.mu.Unlock()
 	if err == nil {
@@ -121,7 +121,7 @@
 // Withdraw takes an endpoint away, as the platform does without being asked.
 func (p *Provider) Withdraw(orderID string) error {
 	p.mu.Lock()
-	err := p.end(orderID, platform.ProvidedWithdrawn)
+	err := p.end(orderID, backing.ProvidedWithdrawn)
 	p.mu.Unlock()
 	if err == nil {
 		p.stop(orderID)
@@ -136,28 +136,28 @@
 	p.full[domain] = full
 }
 
-// Provided implements platform.Provider.
-func (p *Provider) Provided(_ context.Context, pool string) ([]platform.ProvidedEndpoint, error) {
+// Provided implements backing.Provider.
+func (p *Provider) Provided(_ context.Context, pool string) ([]backing.ProvidedEndpoint, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := []platform.ProvidedEndpoint{}
+	list := []backing.ProvidedEndpoint{}
 	for _, e := range p.endpoints {
-		old := e.State == platform.ProvidedReturned && time.Since(e.ended) > returnedFor
+		old := e.State == backing.ProvidedReturned && time.Since(e.ended) > returnedFor
 		if e.Pool == pool && !old {
 			list = append(list, e.ProvidedEndpoint)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.ProvidedEndpoint) int {
+	slices.SortFunc(list, func(a, b backing.ProvidedEndpoint) int {
 		return cmp.Compare(a.OrderID, b.OrderID)
 	})
 	return list, nil
 }
 
 // end is called with mu held.
-func (p *Provider) end(orderID string, state platform.ProvidedState) error {
+func (p *Provider) end(orderID string, state backing.ProvidedState) error {
 	e := p.endpoints[orderID]
 	if e == nil {
-		return errors.Wrapf(platform.ErrNotFound, "endpoint order %q", orderID)
+		return errors.Wrapf(backing.ErrNotFound, "endpoint order %q", orderID)
 	}
 	if e.ended.IsZero() {
 		e.timer.Stop()
@@ -176,7 +176,7 @@
 // checkFence is called with mu held.
 func (p *Provider) checkFence(fence int64) error {
 	if p.options.ChecksFencing && fence < p.fence {
-		return errors.Wrapf(platform.ErrFenced, "%d is below %d", fence, p.fence)
+		return errors.Wrapf(backing.ErrFenced, "%d is below %d", fence, p.fence)
 	}
 	p.fence = max(p.fence, fence)
 	return nil
--- a/internal/standin/provider/provider_test.go
+++ b/internal/standin/provider/provider_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/provider"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -21,9 +21,9 @@
 		starts := 0
 		p := provider.New(provider.Options{
 			ChecksFencing: true,
-			Start:         func(platform.EndpointOrder) string { starts++; return "10.0.0.1:1" },
+			Start:         func(backing.EndpointOrder) string { starts++; return "10.0.0.1:1" },
 		})
-		o := platform.EndpointOrder{ID: "o", Fence: 2, Domain: "north", Pool: "chat"}
+		o := backing.EndpointOrder{ID: "o", Fence: 2, Domain: "north", Pool: "chat"}
 		for range 2 {
 			_, err := p.Order(ctx, o)
 			is.NoErr(err)
@@ -31,20 +31,20 @@
 		time.Sleep(29 * time.Second)
 		list, err := p.Provided(ctx, "chat")
 		is.NoErr(err)
-		is.Equal(list[0].State, platform.ProvidedStarting)
+		is.Equal(list[0].State, backing.ProvidedStarting)
 		time.Sleep(2 * time.Second)
 		list, err = p.Provided(ctx, "chat")
 		is.NoErr(err)
 		is.Equal(list[0].Agent, "10.0.0.1:1")
 		is.Equal(starts, 1)
-		is.True(errors.Is(p.Return(ctx, "o", 1, "old"), platform.ErrFenced))
+		is.True(errors.Is(p.Return(ctx, "o", 1, "old"), backing.ErrFenced))
 		is.NoErr(p.Return(ctx, "o", 2, "new"))
 		time.Sleep(time.Minute)
 		is.Equal(p.Record().Billed[0].Seconds, 31.0)
 		is.Equal(len(p.Record().Orders), 4)
 		p.SetFull("south", true)
-		_, err = p.Order(ctx, platform.EndpointOrder{ID: "p", Fence: 2, Domain: "south"})
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		_, err = p.Order(ctx, backing.EndpointOrder{ID: "p", Fence: 2, Domain: "south"})
+		is.True(errors.Is(err, backing.ErrUnavailable))
 	})
 }
 
@@ -53,15 +53,15 @@
 	p := provider.New(provider.Options{})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	client := platform.NewHTTPProvider(server.URL, nil)
+	client := backing.NewHTTPProvider(server.URL, nil)
 	is.NoErr(put(t, server.URL+"/faults", `{"lose_next":1}`))
-	_, err := client.Order(t.Context(), platform.EndpointOrder{ID: "o", Domain: "north", Pool: "chat"})
-	is.True(errors.Is(err, platform.ErrUnknown))
+	_, err := client.Order(t.Context(), backing.EndpointOrder{ID: "o", Domain: "north", Pool: "chat"})
+	is.True(errors.Is(err, backing.ErrUnknown))
 	list, err := client.Provided(t.Context(), "chat")
 	is.NoErr(err)
 	is.Equal(len(list), 1)
 	is.NoErr(put(t, server.URL+"/faults", `{"down":true}`))
-	is.True(errors.Is(client.Return(t.Context(), "o", 0, "n"), platform.ErrUnavailable))
+	is.True(errors.Is(client.Return(t.Context(), "o", 0, "n"), backing.ErrUnavailable))
 }
 
 func put(t *testing.T, url, body string) error {
--- a/internal/standin/provider/record.go
+++ b/internal/standin/provider/record.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Order is one order or return that the provider received.
 type Order struct {
 	At   time.Time `json:"at"`
 	Kind string    `json:"kind"`
-	platform.EndpointOrder
+	backing.EndpointOrder
 	// Repeat is true if an order with its id was taken before.
 	Repeat bool `json:"repeat,omitempty"`
 	// Result is "done" or the error.
@@ -21,10 +21,10 @@
 
 // Billed is what one endpoint cost.
 type Billed struct {
-	OrderID string                 `json:"order_id"`
-	Domain  string                 `json:"domain"`
-	State   platform.ProvidedState `json:"state"`
-	Seconds float64                `json:"seconds"`
+	OrderID string                `json:"order_id"`
+	Domain  string                `json:"domain"`
+	State   backing.ProvidedState `json:"state"`
+	Seconds float64               `json:"seconds"`
 }
 
 // Record is all that the provider received, and what it bills.
