--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -5,7 +5,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/service"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -18,9 +18,9 @@
 		err   error
 	}{
 		{service.Fault{}, 1, nil},
-		{service.Fault{Kind: service.FaultCloseBefore}, 0, platform.ErrUnknown},
-		{service.Fault{Kind: service.FaultCloseAfter}, 1, platform.ErrUnknown},
-		{service.Fault{Kind: service.FaultCloseMidBody}, 1, platform.ErrUnknown},
+		{service.Fault{Kind: service.FaultCloseBefore}, 0, backing.ErrUnknown},
+		{service.Fault{Kind: service.FaultCloseAfter}, 1, backing.ErrUnknown},
+		{service.Fault{Kind: service.FaultCloseMidBody}, 1, backing.ErrUnknown},
 		{service.Fault{Kind: service.FaultStatusNoRun, Status: 503}, 0, nil},
 		{service.Fault{Kind: service.FaultStatusWithRun, Status: 500}, 1, nil},
 		{service.Fault{Kind: service.FaultCloseAfter, PathPrefix: "/other"}, 1, nil},
@@ -32,7 +32,7 @@
 			server := httptest.NewServer(s.Handler())
 			defer server.Close()
 			s.SetFault(c.fault)
-			_, err := platform.NewHTTPService(server.URL, nil).Call(t.Context(), platform.ServiceRequest{
+			_, err := backing.NewHTTPService(server.URL, nil).Call(t.Context(), backing.ServiceRequest{
 				ID: "r", Method: http.MethodPost, Path: "/payments", Body: []byte("1 lantern"),
 				Header: map[string][]string{"Idempotency-Key": {"k"}},
 			})
--- a/internal/standin/usagesink/usagesink.go
+++ b/internal/standin/usagesink/usagesink.go
@@ -1,6 +1,6 @@
 // Package usagesink is a stand-in for the platform's interface for usage
-// reports. A Sink is a platform.UsageSink itself and also serves the wire
-// format of platform.HTTPUsageSink.
+// reports. A Sink is a backing.UsageSink itself and also serves the wire
+// format of backing.HTTPUsageSink.
 package usagesink
 
 import (
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/acacialink/acacialink/internal/standin/record"
@@ -39,7 +39,7 @@
 	shard, page int
 }
 
-var _ platform.UsageSink = (*Sink)(nil)
+var _ backing.UsageSink = (*Sink)(nil)
 
 // New returns an empty sink.
 func New(o Options) *Sink {
@@ -49,15 +49,15 @@
 // Report is one report that the sink received.
 type Report struct {
 	At time.Time `json:"at"`
-	platform.UsageReport
+	backing.UsageReport
 	// Repeat is true if the page was reported before with the same body,
 	// Conflict if with another one.
 	Repeat   bool `json:"repeat,omitempty"`
 	Conflict bool `json:"conflict,omitempty"`
 }
 
-// Report implements platform.UsageSink.
-func (s *Sink) Report(_ context.Context, r platform.UsageReport) error {
+// Report implements backing.UsageSink.
+func (s *Sink) Report(_ context.Context, r backing.UsageReport) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := page{window: r.Window, shard: r.Shard, page: r.Page}
@@ -68,7 +68,7 @@
 		At: time.Now(), UsageReport: r, Repeat: reported && !conflict, Conflict: conflict,
 	})
 	if conflict {
-		return errors.Wrapf(platform.ErrRejected, "page %v was reported with another body", key)
+		return errors.Wrapf(backing.ErrRejected, "page %v was reported with another body", key)
 	}
 	s.pages[key] = hash
 	return nil
@@ -89,7 +89,7 @@
 }
 
 func (s *Sink) serveReport(w http.ResponseWriter, r *http.Request) {
-	var report platform.UsageReport
+	var report backing.UsageReport
 	if jsonhttp.Read(w, r, &report) {
 		jsonhttp.Answer(w, struct{}{}, s.Report(r.Context(), report))
 	}
--- a/internal/standin/usagesink/usagesink_test.go
+++ b/internal/standin/usagesink/usagesink_test.go
@@ -4,7 +4,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/usagesink"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -15,12 +15,12 @@
 	s := usagesink.New(usagesink.Options{})
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
-	client := platform.NewHTTPUsageSink(server.URL, nil)
-	r := platform.UsageReport{Window: "2026-01-01T00:00:00Z", Fence: 3, Issuer: "north", Body: []byte("1")}
+	client := backing.NewHTTPUsageSink(server.URL, nil)
+	r := backing.UsageReport{Window: "2026-01-01T00:00:00Z", Fence: 3, Issuer: "north", Body: []byte("1")}
 	is.NoErr(client.Report(t.Context(), r))
 	is.NoErr(client.Report(t.Context(), r))
 	r.Body = []byte("2")
-	is.True(errors.Is(client.Report(t.Context(), r), platform.ErrRejected))
+	is.True(errors.Is(client.Report(t.Context(), r), backing.ErrRejected))
 	r.Page = 1
 	is.NoErr(client.Report(t.Context(), r))
 	got := s.Record()
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -1,6 +1,6 @@
 // Package weights is a stand-in for the rate-limited weight store. Loads go
-// one after another at the store's rate. A Store is a platform.WeightStore
-// itself and also serves the wire format of platform.HTTPWeightStore.
+// one after another at the store's rate. A Store is a backing.WeightStore
+// itself and also serves the wire format of backing.HTTPWeightStore.
 package weights
 
 import (
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/fault"
 	"github.com/acacialink/acacialink/internal/standin/jsonhttp"
 	"github.com/gorilla/mux"
@@ -39,7 +39,7 @@
 	busyUntil time.Time
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ backing.WeightStore = (*Store)(nil)
 
 // New returns an idle store.
 func New(o Options) *Store {
@@ -62,7 +62,7 @@
 	return d
 }
 
-// Estimate implements platform.WeightStore.
+// Estimate implements backing.WeightStore.
 func (s *Store) Estimate(_ context.Context, model, adapter string) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,5 +89,5 @@
 func (s *Store) serveEstimate(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	d, err := s.Estimate(r.Context(), query.Get("model"), query.Get("adapter"))
-	jsonhttp.Answer(w, platform.WeightEstimate{Duration: d}, err)
+	jsonhttp.Answer(w, backing.WeightEstimate{Duration: d}, err)
 }
--- a/internal/standin/weights/weights_test.go
+++ b/internal/standin/weights/weights_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/standin/weights"
 	"github.com/matryer/is"
 )
@@ -28,7 +28,7 @@
 	is := is.New(t)
 	server := httptest.NewServer(weights.New(weights.Options{}).Handler())
 	defer server.Close()
-	d, err := platform.NewHTTPWeightStore(server.URL, nil).Estimate(t.Context(), "m", "a")
+	d, err := backing.NewHTTPWeightStore(server.URL, nil).Estimate(t.Context(), "m", "a")
 	is.NoErr(err)
 	is.Equal(d, 500*time.Millisecond)
 }
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -18,8 +18,8 @@
 	settings Settings
 	shard    int
 	host     string
-	store    platform.Store
-	sink     platform.UsageSink
+	store    backing.Store
+	sink     backing.UsageSink
 	stats    *Stats
 
 	// mu guards pending, durable and durableFence; the other fields belong to step.
--- a/internal/usage/keepers.go
+++ b/internal/usage/keepers.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 )
@@ -20,7 +20,7 @@
 }
 
 // NewKeepers returns the keepers of a host.
-func NewKeepers(s Settings, host string, marks *record.Marks, owners Ownership, store platform.Store, sink platform.UsageSink) *Keepers {
+func NewKeepers(s Settings, host string, marks *record.Marks, owners Ownership, store backing.Store, sink backing.UsageSink) *Keepers {
 	all := &Keepers{settings: s, owners: owners}
 	for shard := range s.Shards {
 		k := &keeper{settings: s, shard: shard, host: host, store: store, sink: sink, stats: &all.stats}
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // shardRecord is what the store holds of one shard.
@@ -104,7 +104,7 @@
 	// lineBytes is the encoded size of a line besides its names, at most.
 	lineBytes = 170
 	// maxRecordBytes leaves room for sources and sealed windows in a value.
-	maxRecordBytes = platform.MaxValueBytes - 128<<10
+	maxRecordBytes = backing.MaxValueBytes - 128<<10
 )
 
 // bytes estimates the encoded size of the open windows.
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // report gives sealed pages to the report interface, oldest first. A page is
@@ -33,7 +33,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
 	defer cancel()
-	err = k.sink.Report(ctx, platform.UsageReport{
+	err = k.sink.Report(ctx, backing.UsageReport{
 		Window: windowName(s.Window),
 		Shard:  k.shard,
 		Page:   s.Reported,
--- a/internal/usage/seal.go
+++ b/internal/usage/seal.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // sourceMemory is how long a silent source is remembered, counted while the
@@ -59,7 +59,7 @@
 // is the same.
 func (k *keeper) putPage(ctx context.Context, p encodedPage) error {
 	_, err := k.store.CompareAndSwap(ctx, k.pageKey(p.hash), 0, p.body, 0)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, backing.ErrConflict) {
 		return nil
 	}
 	return errors.Wrap(err, "store usage page")
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/standin/kv"
@@ -118,7 +118,7 @@
 	repeated int
 }
 
-func (s *sink) Report(_ context.Context, r platform.UsageReport) error {
+func (s *sink) Report(_ context.Context, r backing.UsageReport) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pages == nil {
@@ -133,7 +133,7 @@
 	}
 	s.pages[key] = r.Body
 	if s.lose != nil && s.lose() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
--- a/test/fault/control_test.go
+++ b/test/fault/control_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/audit"
-	"github.com/acacialink/acacialink/internal/platform"
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // TestOrdersCutNoRequest lets engines load and drop adapters and the provider
@@ -28,8 +28,8 @@
 	l := s.startLoad(12, 13)
 	l.waitAnswers(t, 30)
 	for _, name := range []string{"engine-1", "orders-1"} {
-		s.standins.HostList.Standin.Set(platform.Host{
-			Name: name, Domain: domains[0], State: platform.HostLeaving, Address: s.agent(name).inbound.address(),
+		s.standins.HostList.Standin.Set(backing.Host{
+			Name: name, Domain: domains[0], State: backing.HostLeaving, Address: s.agent(name).inbound.address(),
 		})
 	}
 	time.Sleep(3 * audit.DefaultBounds().LeaveWithin)
--- a/test/fault/site_test.go
+++ b/test/fault/site_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/audit"
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/certs"
-	"github.com/acacialink/acacialink/internal/platform"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/standin"
 	"github.com/acacialink/acacialink/internal/standin/engine"
@@ -124,8 +124,8 @@
 	peers := freeAddress(s.t)
 	h.inbound = newLink(s.t, "peer/"+name, peers)
 	h.store = newLink(s.t, "store/"+name, s.standins.Store.Address())
-	s.standins.HostList.Standin.Set(platform.Host{
-		Name: name, Domain: h.domain, State: platform.HostLive, Address: h.inbound.address(),
+	s.standins.HostList.Standin.Set(backing.Host{
+		Name: name, Domain: h.domain, State: backing.HostLive, Address: h.inbound.address(),
 	})
 	h.process = s.process("entry", name, map[string]any{
 		"region": "test",
@@ -205,7 +205,7 @@
 }
 
 // provide starts an endpoint that the provider was asked for.
-func (s *site) provide(o platform.EndpointOrder) string {
+func (s *site) provide(o backing.EndpointOrder) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over {
