platform, gateway: the product serves the users' platform

Cause: nothing of the product ran there; it has no deploy file and no adapter. Change: platform/ decodes settings, store, configuration, endpoints, requests and duties; internal/gateway serves requests with opaque bodies, placed by internal/placement from predicted times; internal/limit, peer, duty, truetime and host hold what hosts share. Entry hosts only, no agents. Stage orders are all refused, since the registry's sequence is not the count of orders.

--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -21,6 +21,7 @@
 	app.HelpFlag.Short('h')
 	app.Terminate(nil)
 	addEntry(app)
+	addGateway(app)
 	addAgent(app)
 	addSettings(app)
 	addCerts(app)
--- /dev/null
+++ b/internal/duty/holder.go
@@ -0,0 +1,152 @@
+package duty
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/catalog"
+	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/lease"
+	"github.com/acacialink/acacialink/internal/observe"
+)
+
+// Piece is the name of the lease under which one host does all duties.
+const Piece = "duties"
+
+// Leases says whether this host holds the lease.
+type Leases interface {
+	Held(piece string) (fence int64, deadline time.Time, ok bool)
+}
+
+// Engines takes orders for engines.
+type Engines interface {
+	// Stage orders an engine to another stage. ErrFenced: a later holder gave
+	// orders to it.
+	Stage(ctx context.Context, holder string, fence int64, o StageOrder) error
+}
+
+// Options configure a Holder.
+type Options struct {
+	Host, Incarnation string
+	Leases            Leases
+	Clock             lease.Clock
+	// Quiet is how long a new holder waits before it acts: holders must not
+	// take turns faster.
+	Quiet time.Duration
+	// Settle is how long after a window's end its counts are collected.
+	Settle    time.Duration
+	Counter   *Counter
+	Store     Store
+	Reporter  Reporter
+	Engines   Engines
+	Catalog   *catalog.Holder
+	Endpoints *endpoint.Set
+	Balance   Balance
+	Log       *slog.Logger
+}
+
+// Holder does the duties while this host holds the lease.
+type Holder struct {
+	o         Options
+	reporting reporting
+	// fence is the number that this host holds the lease under, since when it
+	// took it, and refused is a number under which a later one was seen.
+	fence   int64
+	since   lease.Instant
+	refused int64
+	// ordered is when each engine was last ordered to change.
+	ordered map[endpoint.Key]lease.Instant
+}
+
+// NewHolder returns a holder that holds nothing yet.
+func NewHolder(o Options) *Holder {
+	return &Holder{
+		o: o, ordered: make(map[endpoint.Key]lease.Instant),
+		reporting: reporting{
+			counter: o.Counter, store: o.Store, reporter: o.Reporter, host: o.Host, incarnation: o.Incarnation,
+			settle: o.Settle, log: o.Log, done: make(map[int64]bool), first: o.Counter.Current() - 1,
+		},
+	}
+}
+
+const (
+	// stepEvery is the time between looks at what is due.
+	stepEvery = 500 * time.Millisecond
+	// orderPause is how long after an order its engine gets no other one, on
+	// top of the time that a change takes: reports lag.
+	orderPause = 2 * time.Second
+)
+
+// Run does what is due until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	for backing.Pause(ctx, stepEvery) {
+		h.step(ctx)
+	}
+}
+
+func (h *Holder) step(ctx context.Context) {
+	fence, deadline, ok := h.o.Leases.Held(Piece)
+	now := h.o.Clock.Now()
+	if !ok {
+		h.fence = 0
+		return
+	}
+	if fence != h.fence {
+		h.fence, h.since = fence, now
+		h.o.Log.Info("duties taken", observe.FieldFence, fence)
+	}
+	if fence == h.refused || now.Since(h.since) < h.o.Quiet {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	h.note(h.stages(ctx, fence), "stage order")
+	h.note(h.reporting.step(ctx, fence), "usage report")
+}
+
+// note logs a failed duty; one that was refused for a later fence is not tried
+// again under this one.
+func (h *Holder) note(err error, what string) {
+	if err == nil {
+		return
+	}
+	if errors.Is(err, backing.ErrFenced) {
+		h.refused = h.fence
+	}
+	h.o.Log.Warn("duty failed", "duty", what, observe.FieldFence, h.fence, observe.FieldError, err)
+}
+
+// stages orders the engines of each service towards the balance.
+func (h *Holder) stages(ctx context.Context, fence int64) error {
+	c := h.o.Catalog.Current()
+	if c == nil {
+		return nil
+	}
+	for _, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, order := range h.o.Balance.Orders(h.o.Endpoints.Service(s.Name)) {
+			now := h.o.Clock.Now()
+			at, ordered := h.ordered[order.Engine.Key()]
+			if ordered && now.Since(at) < s.Engine.StageSwitch+orderPause {
+				continue
+			}
+			if _, _, ok := h.o.Leases.Held(Piece); !ok {
+				return nil
+			}
+			h.ordered[order.Engine.Key()] = now
+			err := h.o.Engines.Stage(ctx, h.o.Host, fence, order)
+			h.o.Log.Info("stage ordered", observe.FieldEndpoint, order.Engine.ID, "stage", order.Stage.String(),
+				observe.FieldFence, fence, observe.FieldError, err)
+			if err != nil {
+				return errors.Wrapf(err, "order engine %s", order.Engine.ID)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"github.com/acacialink/acacialink/internal/observe"
+)
+
+// outcomeLabels bounds the label values of the counters: codes are constants.
+const outcomeLabels = 64
+
+// Metrics counts requests by outcome and records latencies.
+type Metrics struct {
+	// Outcomes counts requests by code, Sends the sends to endpoints by outcome.
+	Outcomes, Sends *observe.Labelled
+	// FirstEvent is the time to a stream's first event, Answer that of a
+	// whole plain answer.
+	FirstEvent, Answer *observe.Histogram
+}
+
+// NewMetrics returns metrics in the registry.
+func NewMetrics(r *observe.Registry) *Metrics {
+	return &Metrics{
+		Outcomes:   r.NewLabelled("gateway_outcomes", outcomeLabels),
+		Sends:      r.NewLabelled("gateway_sends", outcomeLabels),
+		FirstEvent: r.NewHistogram("gateway_first_event"),
+		Answer:     r.NewHistogram("gateway_answer"),
+	}
+}
--- /dev/null
+++ b/internal/host/follow.go
@@ -0,0 +1,243 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/observe"
+)
+
+const (
+	// configEvery is the time between reads that prove the configuration to be
+	// current; a change is seen by the watch, or by the next read at the latest.
+	configEvery = 700 * time.Millisecond
+	// endpointsEvery is the time between whole listings of the endpoints: a
+	// watch may stay silent while entries change.
+	endpointsEvery = 900 * time.Millisecond
+	// watchWait bounds one watch, watchTimeout the wait for its answer beyond
+	// that, watchRetry the pause after a failed one, watchSpacing that after
+	// each, which bounds the calls when much changes.
+	watchWait    = 10 * time.Second
+	watchTimeout = time.Second
+	watchRetry   = 300 * time.Millisecond
+	watchSpacing = 30 * time.Millisecond
+	// readTimeout bounds one read.
+	readTimeout = time.Second
+)
+
+// reach logs the loss and the return of one dependency.
+type reach struct {
+	name string
+	log  *slog.Logger
+	lost bool
+}
+
+func (r *reach) note(err error) {
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.log.Warn("dependency lost", "dependency", r.name, observe.FieldError, err)
+	case err == nil && r.lost:
+		r.lost = false
+		r.log.Info("dependency regained", "dependency", r.name)
+	}
+}
+
+// pollConfig reads the configuration again and again.
+func (h *Host) pollConfig(ctx context.Context) {
+	seen := &reach{name: "store: configuration", log: h.o.Log}
+	for ctx.Err() == nil {
+		err := h.readConfig(ctx)
+		if errors.Is(err, backing.ErrNotFound) {
+			err = nil // not written yet
+		}
+		if ctx.Err() == nil {
+			seen.note(err)
+		}
+		pause := configEvery
+		if err != nil || h.catalog.Current() == nil {
+			pause = watchRetry
+		}
+		backing.Pause(ctx, pause)
+	}
+}
+
+func (h *Host) readConfig(ctx context.Context) error {
+	sent := h.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	kv, err := h.o.Ports.Store.Get(ctx, h.o.Ports.Config.Key)
+	if err != nil {
+		return err
+	}
+	if err := h.takeConfig(kv); err != nil {
+		return err
+	}
+	h.catalog.Confirm(int64(kv.Revision), sent)
+	return nil
+}
+
+// takeConfig puts a configuration in force if it is newer than the one held.
+func (h *Host) takeConfig(kv backing.KeyValue) error {
+	if int64(kv.Revision) <= h.catalog.Revision() {
+		return nil
+	}
+	c, err := h.o.Ports.Config.Decode(kv.Value)
+	if err != nil {
+		return errors.Wrap(err, "decode the configuration")
+	}
+	if h.catalog.Offer(int64(kv.Revision), c) {
+		h.o.Log.Info("configuration in force", observe.FieldRevision, int64(kv.Revision), "config_version", c.Version)
+	}
+	return nil
+}
+
+// watchConfig takes changes of the configuration as they happen.
+func (h *Host) watchConfig(ctx context.Context) {
+	after := backing.Revision(0)
+	for ctx.Err() == nil {
+		after = max(after, backing.Revision(h.catalog.Revision()))
+		if after == 0 {
+			backing.Pause(ctx, watchRetry)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
+		events, next, err := h.o.Ports.Store.Watch(callCtx, h.o.Ports.Config.Key, after, watchWait)
+		cancel()
+		if err != nil {
+			// The polling reads find what this watch missed.
+			after = backing.Revision(h.catalog.Revision())
+			backing.Pause(ctx, watchRetry)
+			continue
+		}
+		after = next
+		for _, ev := range events {
+			if ev.Key != h.o.Ports.Config.Key || ev.Deleted {
+				continue
+			}
+			if err := h.takeConfig(ev.KeyValue); err != nil {
+				h.o.Log.Error("configuration cannot be used", observe.FieldError, err)
+			}
+		}
+		backing.Pause(ctx, watchSpacing)
+	}
+}
+
+// pollEndpoints lists the endpoints again and again, with a watch in between.
+func (h *Host) pollEndpoints(ctx context.Context) {
+	seen := &reach{name: "store: endpoints", log: h.o.Log}
+	for ctx.Err() == nil {
+		err := h.listEndpoints(ctx)
+		if ctx.Err() == nil {
+			seen.note(err)
+		}
+		if err != nil {
+			h.endpoints.Failed()
+			backing.Pause(ctx, watchRetry)
+			continue
+		}
+		backing.Pause(ctx, endpointsEvery)
+	}
+}
+
+func (h *Host) listEndpoints(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	items, revision, err := h.o.Ports.Store.List(ctx, h.o.Ports.Endpoints.Prefix)
+	if err != nil {
+		return err
+	}
+	listing := make([]*endpoint.Endpoint, 0, len(items))
+	for _, kv := range items {
+		if e, ok := h.decodeEndpoint(kv); ok {
+			listing = append(listing, e)
+		}
+	}
+	h.changed(h.endpoints.Replace(time.Now(), listing))
+	h.listed.Store(int64(revision))
+	return nil
+}
+
+// watchEndpoints takes changes of endpoints as they happen.
+func (h *Host) watchEndpoints(ctx context.Context) {
+	after := backing.Revision(0)
+	for ctx.Err() == nil {
+		if after == 0 {
+			after = backing.Revision(h.listed.Load())
+		}
+		if after == 0 {
+			backing.Pause(ctx, watchRetry)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
+		events, next, err := h.o.Ports.Store.Watch(callCtx, h.o.Ports.Endpoints.Prefix, after, watchWait)
+		cancel()
+		if err != nil {
+			after = 0
+			backing.Pause(ctx, watchRetry)
+			continue
+		}
+		after = next
+		h.takeEndpoints(events)
+		backing.Pause(ctx, watchSpacing)
+	}
+}
+
+func (h *Host) takeEndpoints(events []backing.Event) {
+	var present []*endpoint.Endpoint
+	var removed []string
+	for _, ev := range events {
+		if ev.Deleted {
+			if id, ok := h.o.Ports.Endpoints.ID(ev.Key); ok {
+				removed = append(removed, id)
+			}
+			continue
+		}
+		if e, ok := h.decodeEndpoint(ev.KeyValue); ok {
+			present = append(present, e)
+		}
+	}
+	if len(present)+len(removed) > 0 {
+		h.changed(h.endpoints.Update(time.Now(), present, removed))
+	}
+}
+
+func (h *Host) decodeEndpoint(kv backing.KeyValue) (*endpoint.Endpoint, bool) {
+	e, err := h.o.Ports.Endpoints.Decode(kv)
+	if err == nil {
+		return e, true
+	}
+	if h.foreign[kv.Key] != kv.Revision {
+		if len(h.foreign) >= maxForeign {
+			clear(h.foreign)
+		}
+		h.foreign[kv.Key] = kv.Revision
+		h.o.Log.Warn("endpoint entry skipped", "key", kv.Key, observe.FieldRevision, int64(kv.Revision), observe.FieldError, err)
+	}
+	return nil, false
+}
+
+// maxForeign bounds the unusable entries that are remembered, so that each is
+// logged once.
+const maxForeign = 256
+
+// changed logs what an update of the endpoints did and drops what was kept for
+// those that left.
+func (h *Host) changed(c endpoint.Change) {
+	for _, e := range c.Added {
+		h.o.Log.Info("endpoint added", observe.FieldEndpoint, e.ID, "address", e.Address, "service", e.Service, "stage", e.Stage.String())
+	}
+	for _, e := range c.Restaged {
+		h.o.Log.Info("endpoint changed its stage", observe.FieldEndpoint, e.ID, "stage", e.Stage.String())
+	}
+	for _, e := range c.Left {
+		h.o.Log.Info("endpoint leaves", observe.FieldEndpoint, e.ID, "draining", e.Draining)
+		h.tracker.Forget(e.ID)
+		h.o.Ports.Connections.Drop(e.Address)
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,316 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/catalog"
+	"github.com/acacialink/acacialink/internal/duty"
+	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/gateway"
+	"github.com/acacialink/acacialink/internal/lease"
+	"github.com/acacialink/acacialink/internal/limit"
+	"github.com/acacialink/acacialink/internal/peer"
+	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/record"
+	"github.com/acacialink/acacialink/internal/truetime"
+)
+
+const (
+	// freshMargin is how long before the bound on removed keys a confirmation
+	// of the configuration stops counting.
+	freshMargin = 700 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head, idleTimeout the
+	// time that a caller's connection may stay idle: both at least as long as
+	// any configuration grants.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	// headerBytes bounds a request's head.
+	headerBytes = 16 << 10
+	// duties' lease: TTL until another host may take over, renewed three times
+	// within it, not used in its last part.
+	dutyTTL      = 4 * time.Second
+	dutyRenew    = time.Second
+	dutyMargin   = time.Second
+	dutyDeadline = time.Second
+	// quietMargin is added to the time in which holders must not take turns.
+	quietMargin = 400 * time.Millisecond
+	// usageSettle is how long after a window its counts are collected: longer
+	// than clocks differ and hosts take to save theirs.
+	usageSettle = 2500 * time.Millisecond
+	// leaderLife is how long a peer's word that it has the duties counts.
+	leaderLife = 2 * time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	o         Options
+	clock     lease.SystemClock
+	begun     time.Time
+	inc       string
+	catalog   *catalog.Holder
+	endpoints *endpoint.Set
+	tracker   *placement.Tracker
+	limiter   *limit.Limiter
+	counter   *duty.Counter
+	truetime  *truetime.Clock
+	directory *peer.Directory
+	group     *peer.Group
+	leases    *lease.Set
+	holder    *duty.Holder
+	gateway   *gateway.Gateway
+	draining  atomic.Bool
+	// listed is the store's revision of the last listing of endpoints.
+	listed atomic.Int64
+	// foreign is the last revision of each entry that could not be read; one
+	// loop at a time uses it.
+	foreign map[string]backing.Revision
+
+	mu sync.Mutex
+	// leader is the host that last said to have the duties.
+	leader   string
+	leaderAt time.Time
+}
+
+// New returns a host that does nothing yet.
+func New(o Options) *Host {
+	s := o.Settings
+	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision)}
+	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
+	h.endpoints = endpoint.NewSet(s.Returned)
+	h.tracker = placement.NewTracker(placement.DefaultCosts())
+	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Full: s.FirstStart}, h.audible)
+	h.truetime = truetime.New(h.clock, time.Now)
+	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
+	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
+	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Ports.Store, o.Log)
+	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, Take: h.hear, Gone: h.tracker.DropPeer, Log: o.Log})
+	h.leases = h.newLeases()
+	h.holder = h.newHolder()
+	h.gateway = gateway.New(gateway.Options{
+		Ingress: o.Ports.Ingress, Sender: o.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker,
+		Quota: h.limiter, Usage: h.counter, Budget: gateway.NewBudget(s.RetryRatio*budgetShare, s.RetryWindow, h.slack),
+		Domain: s.Domain, Hosts: h.hosts, Draining: h.draining.Load, Metrics: gateway.NewMetrics(o.Registry), Log: o.Log,
+	})
+	return h
+}
+
+func (h *Host) newLeases() *lease.Set {
+	return lease.New(lease.Options{
+		Host: h.o.Settings.Name, Incarnation: h.inc, Store: h.o.Ports.Store,
+		Settings:  lease.Settings{TTL: dutyTTL, Renew: dutyRenew, Margin: dutyMargin, OrderDeadline: dutyDeadline, CallTimeout: readTimeout},
+		Pieces:    func() []string { return []string{duty.Piece} },
+		Preferred: h.preferred, Marks: record.NewMarks(h.o.Settings.Name, h.inc), Log: h.o.Log,
+	})
+}
+
+func (h *Host) newHolder() *duty.Holder {
+	return duty.NewHolder(duty.Options{
+		Host: h.o.Settings.Name, Incarnation: h.inc, Leases: h.leases, Clock: h.clock,
+		Quiet: h.o.Settings.Lease + quietMargin, Settle: usageSettle,
+		Counter: h.counter, Store: h.o.Ports.Store, Reporter: h.o.Ports.Reporter, Engines: h.o.Ports.Engines,
+		Catalog: h.catalog, Endpoints: h.endpoints, Balance: duty.DefaultBalance(), Log: h.o.Log,
+	})
+}
+
+const (
+	// budgetShare is the part of the budget of repeated sends that is used:
+	// counts of sliding windows differ at their edges.
+	budgetShare = 0.8
+	// leastHosts is the least number of hosts that the slack of the budget is
+	// shared among, so that hosts that come back all at once stay within it.
+	leastHosts = 5
+)
+
+// slack is this host's part of the slack of the budget of repeated sends.
+func (h *Host) slack() float64 {
+	return budgetShare * h.o.Settings.RetrySlack / float64(max(leastHosts, h.hosts()+1))
+}
+
+func (h *Host) hosts() int {
+	n, _ := h.group.Audible()
+	return n
+}
+
+// audible is the share of hosts that this host hears.
+func (h *Host) audible() float64 {
+	n, heard := h.group.Audible()
+	return float64(heard) / float64(n)
+}
+
+// preferred is the host that should have the duties: the one that has them.
+func (h *Host) preferred(string) (string, bool) {
+	if _, _, ok := h.leases.Held(duty.Piece); ok {
+		return h.o.Settings.Name, true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leader != "" && time.Since(h.leaderAt) < leaderLife {
+		return h.leader, true
+	}
+	return h.o.Settings.Name, !h.draining.Load()
+}
+
+// snapshot is what this host tells its peers.
+func (h *Host) snapshot() *peer.Snapshot {
+	loads, placed := h.tracker.Loads(time.Now())
+	_, _, leads := h.leases.Held(duty.Piece)
+	return &peer.Snapshot{
+		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: time.Since(h.begun).Milliseconds(), Wall: time.Now().UnixMilli(),
+		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.counter.Own(),
+		Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
+	}
+}
+
+// hear takes a peer's snapshot.
+func (h *Host) hear(s *peer.Snapshot) {
+	now := time.Now()
+	h.tracker.Peer(now, s.Host, s.Loads, s.Placed)
+	h.limiter.Peer(s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
+	h.counter.Peer(s.Incarnation, s.Usage)
+	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case s.Leads:
+		h.leader, h.leaderAt = s.Host, now
+	case h.leader == s.Host:
+		h.leader = ""
+	}
+}
+
+// Ready says whether callers should be sent to this host.
+func (h *Host) Ready() bool {
+	return !h.draining.Load() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.Listed()
+}
+
+// Run serves until stop ends, and then drains.
+func (h *Host) Run(stop context.Context) error {
+	callers, err := listen(h.o.Settings.Callers)
+	if err != nil {
+		return err
+	}
+	defer callers.Close()
+	ready, err := listen(h.o.Settings.Ready)
+	if err != nil {
+		return err
+	}
+	defer ready.Close()
+	peers, err := listen(h.o.Settings.Peers)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 3)
+	server := h.server(h.gateway)
+	go func() { failed <- errors.Wrap(server.Serve(callers), "serve callers") }()
+	go func() { failed <- errors.Wrap(h.server(h.operators()).Serve(ready), "serve readiness") }()
+	go func() { failed <- errors.Wrap(h.group.Serve(ctx, peers), "serve peers") }()
+	wait := h.start(ctx, stop)
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	h.drain()
+	cancel()
+	wait()
+	return server.Close()
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address) //nolint:noctx // the listener lives as long as the process
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
+
+// start runs the host's loops; the ones for duties end with stop, so that
+// another host takes them over while this one drains.
+func (h *Host) start(ctx, stop context.Context) (wait func()) {
+	var all sync.WaitGroup
+	saver := &duty.Saver{Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
+	for _, run := range []loop{h.pollConfig, h.watchConfig, h.pollEndpoints, h.watchEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
+		all.Go(func() { run(ctx) })
+	}
+	all.Go(func() {
+		var duties sync.WaitGroup
+		duties.Go(func() { h.leases.Run(stop) })
+		if h.o.Ports.Reporter != nil {
+			duties.Go(func() { h.holder.Run(stop) })
+		}
+		duties.Wait()
+		if err := h.leases.Close(ctx); err != nil {
+			h.o.Log.Info("duties' lease was not ended", "error", err)
+		}
+	})
+	return all.Wait
+}
+
+// sweepEvery is the time between closings of idle connections to endpoints.
+const sweepEvery = time.Second
+
+func (h *Host) sweep(ctx context.Context) {
+	for backing.Pause(ctx, sweepEvery) {
+		h.o.Ports.Connections.Sweep(time.Now())
+	}
+}
+
+func (h *Host) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(h.o.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// operators answers readiness and, under /metrics, the counters.
+func (h *Host) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", h.o.Registry.ServeVars)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+const (
+	// drainMin is how long a draining host takes new connections: the balancer
+	// needs two readiness checks, a second apart, to leave it out.
+	drainMin = 3500 * time.Millisecond
+	// drainReserve is the part of the grace that is left for the end itself.
+	drainReserve = 800 * time.Millisecond
+	// drainQuiet is how long no request must have been served before the end.
+	drainQuiet = 300 * time.Millisecond
+	drainLook  = 20 * time.Millisecond
+)
+
+// drain lets callers go: not ready at once, every answer asks to close the
+// connection, and what runs may end within the grace.
+func (h *Host) drain() {
+	h.draining.Store(true)
+	begun := time.Now()
+	h.o.Log.Info("draining", "requests", h.gateway.Active())
+	quiet := begun
+	for {
+		now := time.Now()
+		if h.gateway.Active() > 0 {
+			quiet = now
+		}
+		if now.Sub(begun) >= h.o.Settings.Grace-drainReserve || now.Sub(begun) >= drainMin && now.Sub(quiet) >= drainQuiet {
+			break
+		}
+		time.Sleep(drainLook)
+	}
+	h.o.Log.Info("drained", "requests", h.gateway.Active(), "duration_ms", time.Since(begun))
+}
--- /dev/null
+++ b/internal/peer/group.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/observe"
+)
+
+const (
+	// exchangeEvery is the time between snapshots to each peer: work at
+	// engines changes within tens of milliseconds.
+	exchangeEvery = 80 * time.Millisecond
+	// audibleFor is how long after its last snapshot a peer counts as heard.
+	audibleFor = 600 * time.Millisecond
+)
+
+// Options configure a Group.
+type Options struct {
+	Directory *Directory
+	// Make returns this host's snapshot, Take handles a peer's.
+	Make func() *Snapshot
+	Take func(*Snapshot)
+	// Gone is told of peers that left the directory.
+	Gone func(host string)
+	Log  *slog.Logger
+}
+
+// Group exchanges snapshots with all other hosts.
+type Group struct {
+	o Options
+
+	mu    sync.Mutex
+	links map[string]*runner
+	heard map[string]time.Time
+	// latest is the snapshot that peers are answered with.
+	latest *Snapshot
+}
+
+// runner is the loop that exchanges with one peer.
+type runner struct {
+	entry Entry
+	stop  context.CancelFunc
+}
+
+// NewGroup returns a group that has heard nobody.
+func NewGroup(o Options) *Group {
+	return &Group{o: o, links: make(map[string]*runner), heard: make(map[string]time.Time)}
+}
+
+// Serve answers peers until ctx ends.
+func (g *Group) Serve(ctx context.Context, l net.Listener) error {
+	return serve(ctx, l, func(in *Snapshot) *Snapshot {
+		g.take(in)
+		return g.snapshot()
+	})
+}
+
+func (g *Group) take(in *Snapshot) {
+	g.mu.Lock()
+	g.heard[in.Host] = time.Now()
+	g.mu.Unlock()
+	g.o.Take(in)
+}
+
+func (g *Group) snapshot() *Snapshot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.latest == nil {
+		g.latest = g.o.Make()
+	}
+	return g.latest
+}
+
+// Run exchanges snapshots until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	for {
+		made := g.o.Make()
+		g.mu.Lock()
+		g.latest = made
+		g.mu.Unlock()
+		g.reconcile(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// reconcile starts and ends loops so that there is one for each other host.
+func (g *Group) reconcile(ctx context.Context) {
+	others := g.o.Directory.Others()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, r := range g.links {
+		if others[name] != r.entry {
+			r.stop()
+			delete(g.links, name)
+			if _, stays := others[name]; !stays {
+				delete(g.heard, name)
+				g.o.Gone(name)
+				g.o.Log.Info("peer left", observe.FieldPeer, name)
+			}
+		}
+	}
+	for name, e := range others {
+		if g.links[name] != nil {
+			continue
+		}
+		linkCtx, stop := context.WithCancel(ctx)
+		g.links[name] = &runner{entry: e, stop: stop}
+		g.o.Log.Info("peer found", observe.FieldPeer, name, "address", e.Address)
+		go g.talk(linkCtx, e)
+	}
+}
+
+// talk exchanges snapshots with one peer until ctx ends.
+func (g *Group) talk(ctx context.Context, e Entry) {
+	l := &link{address: e.Address}
+	defer l.close()
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	lost := false
+	for {
+		in, err := l.exchange(ctx, g.snapshot())
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil && !lost:
+			lost = true
+			g.o.Log.Warn("peer lost", observe.FieldPeer, e.Host, observe.FieldError, err)
+		case err == nil:
+			if lost {
+				g.o.Log.Info("peer regained", observe.FieldPeer, e.Host)
+			}
+			lost = false
+			g.take(in)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Audible is the number of hosts, this one included, and how many of them this
+// host hears, itself included.
+func (g *Group) Audible() (hosts, heard int) {
+	others := g.o.Directory.Others()
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	hosts, heard = 1, 1
+	for name := range others {
+		hosts++
+		if now.Sub(g.heard[name]) < audibleFor {
+			heard++
+		}
+	}
+	return hosts, heard
+}
--- /dev/null
+++ b/internal/placement/flight.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/acacialink/acacialink/internal/endpoint"
+)
+
+// Flight is one request's work at one engine, counted until Done.
+type Flight struct {
+	tracker *Tracker
+	engine  *engine
+	stage   endpoint.Stage
+	begun   time.Time
+	// expected is the predicted time of the reading; zero when the engine
+	// reads nothing.
+	expected time.Duration
+	read     int
+	memory   int
+	prefix   []Part
+	isRun    bool
+	idle     bool
+	readDone bool
+}
+
+// Begin counts a reading of the plan at its reader.
+func (t *Tracker) Begin(now time.Time, e *endpoint.Endpoint, p *Plan, job *Job) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.engine(e)
+	busy := t.load(now, e.ID)
+	f := &Flight{
+		tracker: t, engine: g, stage: e.Stage, begun: now,
+		expected: p.FirstEvent, read: p.Read, memory: job.Prompt + job.Output, prefix: job.Parts,
+		isRun: p.Prefill == nil, idle: busy.Tokens == 0 && p.Fetch == "",
+	}
+	g.jobs[f] = struct{}{}
+	if shared := job.sharedHashes(); len(shared) > 0 {
+		for _, h := range shared {
+			g.hold(now, h)
+		}
+		if len(t.placed) < maxPlaced {
+			t.placed = append(t.placed, Placed{Engine: e.ID, Parts: shared})
+		}
+	}
+	return f
+}
+
+// maxPlaced bounds the dispatches kept for peers.
+const maxPlaced = 256
+
+func (j *Job) sharedHashes() []uint64 {
+	if len(j.Parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(j.Parts)-1)
+	for _, p := range j.Parts[:len(j.Parts)-1] {
+		out = append(out, p.Hash)
+	}
+	return out
+}
+
+// BeginRun counts a generation whose prompt was read elsewhere.
+func (t *Tracker) BeginRun(now time.Time, e *endpoint.Endpoint, job *Job) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.engine(e)
+	f := &Flight{tracker: t, engine: g, stage: e.Stage, begun: now, memory: job.Prompt + job.Output, isRun: true, readDone: true}
+	g.jobs[f] = struct{}{}
+	for _, h := range job.sharedHashes() {
+		g.hold(now, h)
+	}
+	return f
+}
+
+// load is the work left. The caller holds the tracker's mu.
+func (f *Flight) load(now time.Time) Load {
+	l := Load{Memory: f.memory}
+	if f.isRun {
+		l.Streams = 1
+	}
+	if f.readDone {
+		return l
+	}
+	left := 1.0
+	if f.expected > 0 {
+		left -= float64(now.Sub(f.begun)) / float64(f.expected)
+	}
+	l.Tokens = int(float64(f.read) * max(left, overdueShare))
+	return l
+}
+
+// overdueShare is the part of a reading that is assumed to be left once its
+// predicted time is over.
+const overdueShare = 0.1
+
+// Read says that the prompt was read: the first event or the handle is here.
+func (f *Flight) Read(now time.Time) {
+	t := f.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.readDone {
+		return
+	}
+	f.readDone = true
+	f.engine.failures, f.engine.avoid = 0, time.Time{}
+	took := now.Sub(f.begun)
+	if f.idle && f.read >= minSample {
+		prompt := 0
+		for _, p := range f.prefix {
+			prompt += p.Tokens
+		}
+		quadratic := t.costs.Quadratic * float64(f.read) * float64(max(0, prompt-f.read/2))
+		ms := float64(took-t.costs.Fixed)/float64(time.Millisecond) - quadratic
+		if ms > 1 {
+			t.rates[f.stage].observe(float64(f.read) / ms)
+		}
+	}
+	if f.expected > 0 {
+		ratio := max(1, min(maxSlow, float64(took)/float64(f.expected)))
+		f.engine.slow += slowWeight * (ratio - f.engine.slow)
+	}
+}
+
+const (
+	// slowWeight is the weight of the latest observation of an engine's
+	// slowness, maxSlow bounds one observation.
+	slowWeight = 0.08
+	maxSlow    = 6
+)
+
+// Done ends the flight.
+func (f *Flight) Done() {
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	delete(f.engine.jobs, f)
+}
+
+// Failed ends the flight after the engine failed: it is avoided for a while,
+// longer with each failure in a row.
+func (f *Flight) Failed(now time.Time) {
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	delete(f.engine.jobs, f)
+	f.engine.failures++
+	pause := min(avoidFirst<<min(f.engine.failures-1, avoidDoublings), avoidLongest)
+	f.engine.avoid = now.Add(pause)
+}
+
+const (
+	// avoidFirst is how long an engine is avoided after one failure, doubled
+	// with each further one up to avoidLongest: a crash lasts seconds.
+	avoidFirst     = 250 * time.Millisecond
+	avoidDoublings = 4
+	avoidLongest   = 3 * time.Second
+)
--- /dev/null
+++ b/internal/placement/tracker.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/acacialink/acacialink/internal/endpoint"
+)
+
+// Load is the work of one host at one engine.
+type Load struct {
+	// Tokens are prompt tokens still to be read, as predicted.
+	Tokens int `json:"t,omitempty"`
+	// Streams are answers being generated or waiting to be.
+	Streams int `json:"s,omitempty"`
+	// Memory is the KV cache of the requests in flight, in tokens.
+	Memory int `json:"m,omitempty"`
+}
+
+func (l *Load) add(o Load) {
+	l.Tokens += o.Tokens
+	l.Streams += o.Streams
+	l.Memory += o.Memory
+}
+
+// Tracker knows the work at each engine. It is safe for concurrent use.
+type Tracker struct {
+	costs Costs
+
+	mu      sync.Mutex
+	engines map[string]*engine
+	// peers holds the load that each other host reported, by engine.
+	peers map[string]peerLoad
+	rates map[endpoint.Stage]*rate
+	// placed are the dispatches that peers have not been told of.
+	placed []Placed
+}
+
+type peerLoad struct {
+	at      time.Time
+	engines map[string]Load
+}
+
+// peerLife is how long a silent peer's report counts.
+const peerLife = 1500 * time.Millisecond
+
+// Placed tells peers which shared parts an engine has read.
+type Placed struct {
+	Engine string   `json:"e"`
+	Parts  []uint64 `json:"p"`
+}
+
+// engine is what is known of one engine's start.
+type engine struct {
+	key   endpoint.Key
+	jobs  map[*Flight]struct{}
+	parts map[uint64]time.Time
+	// slow is the smoothed ratio of observed to predicted times, at least 1.
+	slow float64
+	// failures are consecutive failures; avoid is until when the engine is
+	// picked only if there is no other.
+	failures int
+	avoid    time.Time
+	// errors is the smoothed share of calls that it failed.
+	errors float64
+}
+
+// NewTracker returns a tracker that knows no engines.
+func NewTracker(c Costs) *Tracker {
+	return &Tracker{
+		costs: c, engines: make(map[string]*engine), peers: make(map[string]peerLoad),
+		rates: map[endpoint.Stage]*rate{
+			endpoint.StagePrefill: {perMS: c.PrefillRate},
+			endpoint.StageDecode:  {perMS: c.DecodeRate},
+		},
+	}
+}
+
+// engine returns the record of an endpoint's start. The caller holds mu.
+func (t *Tracker) engine(e *endpoint.Endpoint) *engine {
+	g := t.engines[e.ID]
+	if g == nil || g.key != e.Key() {
+		g = &engine{key: e.Key(), jobs: make(map[*Flight]struct{}), parts: make(map[uint64]time.Time), slow: 1}
+		t.engines[e.ID] = g
+	}
+	return g
+}
+
+// Forget drops what is known of an engine that left.
+func (t *Tracker) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.engines, id)
+}
+
+// load is all hosts' work at an engine. The caller holds mu.
+func (t *Tracker) load(now time.Time, id string) Load {
+	var sum Load
+	if g := t.engines[id]; g != nil {
+		sum = g.load(now)
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.at) < peerLife {
+			sum.add(p.engines[id])
+		}
+	}
+	return sum
+}
+
+func (g *engine) load(now time.Time) Load {
+	var sum Load
+	for f := range g.jobs {
+		sum.add(f.load(now))
+	}
+	return sum
+}
+
+// Loads is this host's work at each engine, for its peers, with the dispatches
+// since the last call.
+func (t *Tracker) Loads(now time.Time) (map[string]Load, []Placed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Load, len(t.engines))
+	for id, g := range t.engines {
+		if l := g.load(now); l != (Load{}) {
+			out[id] = l
+		}
+	}
+	placed := t.placed
+	t.placed = nil
+	return out, placed
+}
+
+// Peer takes another host's report.
+func (t *Tracker) Peer(now time.Time, host string, loads map[string]Load, placed []Placed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[host] = peerLoad{at: now, engines: loads}
+	for _, p := range placed {
+		if g := t.engines[p.Engine]; g != nil {
+			for _, h := range p.Parts {
+				g.hold(now, h)
+			}
+		}
+	}
+}
+
+// DropPeer forgets the work of a host that is gone.
+func (t *Tracker) DropPeer(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, host)
+}
+
+const (
+	// partLife is how long a part is believed to stay in an engine's cache
+	// without being used.
+	partLife = 60 * time.Second
+	// maxParts bounds the remembered parts of one engine.
+	maxParts = 4096
+)
+
+func (g *engine) hold(now time.Time, hash uint64) {
+	if len(g.parts) >= maxParts {
+		for h, at := range g.parts {
+			if now.Sub(at) > partLife || len(g.parts) >= maxParts {
+				delete(g.parts, h)
+			}
+			if len(g.parts) < maxParts*3/4 {
+				break
+			}
+		}
+	}
+	g.parts[hash] = now
+}
+
+// cached is how many tokens from the prompt's start the engine holds.
+func (g *engine) cached(now time.Time, parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		at, ok := g.parts[p.Hash]
+		if !ok || now.Sub(at) > partLife {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// rate is a learned reading speed.
+type rate struct{ perMS float64 }
+
+const (
+	// rateWeight is the weight of a new observation of a speed.
+	rateWeight = 0.1
+	// minSample is the least tokens of a prompt that tell a speed.
+	minSample = 1000
+)
+
+func (r *rate) observe(perMS float64) {
+	r.perMS += rateWeight * (perMS - r.perMS)
+}
+
+// Rates are the learned speeds, for dumps and logs, in tokens a millisecond.
+func (t *Tracker) Rates() (prefill, decode float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rates[endpoint.StagePrefill].perMS, t.rates[endpoint.StageDecode].perMS
+}
