--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -34,8 +34,6 @@
 	Born  int64
 	Slots int
 	Stage Stage
-	// Orders is the number of orders that the engine has accepted, as listed.
-	Orders int64
 	// Draining endpoints take no new work.
 	Draining bool
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -59,7 +59,28 @@
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_service", "the route's service is not configured").After(retryUnready)
 	}
-	return nil
+	return q.admitWhileEnding()
+}
+
+const (
+	// streamTime and plainTime are what a stream and a plain request may take:
+	// with less than that left to the process they are refused, since another
+	// host can finish them.
+	streamTime = 5 * time.Second
+	plainTime  = 1500 * time.Millisecond
+)
+
+// admitWhileEnding refuses what the process would break off at its end.
+func (q *request) admitWhileEnding() error {
+	left, ending := q.g.o.Ending()
+	need := plainTime
+	if q.route.Kind == catalog.Stream {
+		need = streamTime
+	}
+	if !ending || left >= need {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "host_ending", "this host is about to end").After(retryUnready)
 }
 
 func errStale() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	q := &request{g: g, w: w, begun: time.Now(), exclude: make(map[string]bool)}
-	if g.o.Draining() {
+	if _, ending := g.o.Ending(); ending {
 		w.Header().Set("Connection", "close")
 	}
 	err := q.serve(r)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -36,8 +36,8 @@
 	Domain string
 	// Hosts is the number of hosts that share endpoints' connections.
 	Hosts func() int
-	// Draining says that the process is about to end.
-	Draining func() bool
+	// Ending says whether the process is about to end, and the time left to it.
+	Ending func() (left time.Duration, ending bool)
 	Metrics  *Metrics
 	Log      *slog.Logger
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,6 +70,8 @@
 	holder    *duty.Holder
 	gateway   *gateway.Gateway
 	draining  atomic.Bool
+	// ends is when the process must have ended, once it drains.
+	ends atomic.Pointer[time.Time]
 	// listed is the store's revision of the last listing of endpoints.
 	listed atomic.Int64
 	// foreign is the last revision of each entry that could not be read; one
@@ -100,7 +102,7 @@
 	h.gateway = gateway.New(gateway.Options{
 		Ingress: o.Ports.Ingress, Sender: o.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker,
 		Quota: h.limiter, Usage: h.counter, Budget: gateway.NewBudget(s.RetryRatio*budgetShare, s.RetryWindow, h.slack),
-		Domain: s.Domain, Hosts: h.hosts, Draining: h.draining.Load, Metrics: gateway.NewMetrics(o.Registry), Log: o.Log,
+		Domain: s.Domain, Hosts: h.hosts, Ending: h.ending, Metrics: gateway.NewMetrics(o.Registry), Log: o.Log,
 	})
 	return h
 }
@@ -295,11 +297,22 @@
 	drainLook  = 20 * time.Millisecond
 )
 
+// ending is the time left to a process that drains.
+func (h *Host) ending() (time.Duration, bool) {
+	ends := h.ends.Load()
+	if ends == nil {
+		return 0, false
+	}
+	return time.Until(*ends), true
+}
+
 // drain lets callers go: not ready at once, every answer asks to close the
 // connection, and what runs may end within the grace.
 func (h *Host) drain() {
-	h.draining.Store(true)
 	begun := time.Now()
+	ends := begun.Add(h.o.Settings.Grace)
+	h.ends.Store(&ends)
+	h.draining.Store(true)
 	h.o.Log.Info("draining", "requests", h.gateway.Active())
 	quiet := begun
 	for {
