placement: avoid engines that reject; fetch shared parts; late requests yield

Change: growing pauses after rejections, switching engines told to peers, no stage order before 4 s out of balance, caches that lapse are not made again at once, fetches from 64 tokens, engine ranks by workspace, then route, then lateness; fewer store reads and counts. The heaviest windows still lose most to rejections.

--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -46,6 +46,9 @@
 	Catalog   *catalog.Holder
 	Endpoints *endpoint.Set
 	Balance   Balance
+	// Switching is told of each engine that is ordered to change its stage, and
+	// how long that takes.
+	Switching func(e *endpoint.Endpoint, takes time.Duration)
 	Log       *slog.Logger
 }
 
@@ -60,12 +63,14 @@
 	refused int64
 	// ordered is when each engine was last ordered to change.
 	ordered map[endpoint.Key]lease.Instant
+	// uneven is since when each service is out of balance.
+	uneven map[string]lease.Instant
 }
 
 // NewHolder returns a holder that holds nothing yet.
 func NewHolder(o Options) *Holder {
 	return &Holder{
-		o: o, ordered: make(map[endpoint.Key]lease.Instant),
+		o: o, ordered: make(map[endpoint.Key]lease.Instant), uneven: make(map[string]lease.Instant),
 		reporting: reporting{
 			counter: o.Counter, store: o.Store, reporter: o.Reporter, host: o.Host, incarnation: o.Incarnation,
 			settle: o.Settle, log: o.Log, done: make(map[int64]bool), first: o.Counter.Current() - 1,
@@ -130,7 +135,11 @@
 		if s.Engine == nil {
 			continue
 		}
-		for _, order := range h.o.Balance.Orders(h.o.Endpoints.Service(s.Name)) {
+		orders := h.o.Balance.Orders(h.o.Endpoints.Service(s.Name))
+		if !h.due(s.Name, len(orders) > 0) {
+			continue
+		}
+		for _, order := range orders {
 			now := h.o.Clock.Now()
 			at, ordered := h.ordered[order.Engine.Key()]
 			if ordered && now.Since(at) < s.Engine.StageSwitch+orderPause {
@@ -140,6 +149,7 @@
 				return nil
 			}
 			h.ordered[order.Engine.Key()] = now
+			h.o.Switching(order.Engine, s.Engine.StageSwitch)
 			err := h.o.Engines.Stage(ctx, h.o.Host, fence, order)
 			h.o.Log.Info("stage ordered", observe.FieldEndpoint, order.Engine.ID, "stage", order.Stage.String(),
 				observe.FieldFence, fence, observe.FieldError, err)
@@ -150,3 +160,23 @@
 	}
 	return nil
 }
+
+// balancePatience is how long engines are out of balance before one is ordered
+// to change: one that crashed is back sooner than a change would be done.
+const balancePatience = 4 * time.Second
+
+// due says whether a service has been out of balance for long enough. At the
+// first look nothing runs yet, and a change costs nothing.
+func (h *Holder) due(service string, uneven bool) bool {
+	now := h.o.Clock.Now()
+	if !uneven {
+		delete(h.uneven, service)
+		return false
+	}
+	since, known := h.uneven[service]
+	if !known {
+		h.uneven[service] = now
+		return false
+	}
+	return now.Since(since) >= balancePatience
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -135,12 +135,25 @@
 	}
 }
 
-// priority ranks the request; the workspace's rank goes before the route's.
-func (q *request) priority() int {
-	if q.workspace != nil && q.workspace.Priority >= 0 {
-		return q.workspace.Priority
+const (
+	// routeRanks is the number of ranks that routes have within a workspace's.
+	routeRanks = 3
+	// lateRank is added to requests that will miss their target: those that
+	// can still be in time go first.
+	lateRank = 3
+)
+
+// rank orders requests at an engine, 0 first: the workspace's rank goes before
+// the route's.
+func (q *request) rank() int {
+	rank := min(max(0, q.route.Priority), routeRanks-1)
+	if q.workspace != nil && q.workspace.Priority > 0 {
+		rank += routeRanks * q.workspace.Priority
+	}
+	if q.late {
+		rank += lateRank
 	}
-	return q.route.Priority
+	return rank
 }
 
 func (q *request) workspaceName() string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,10 @@
 	counted bool
 	// answered says that the head of the answer was written.
 	answered bool
-	first    time.Duration
-	trace    []slog.Attr
+	// late says that the first event is predicted to miss the route's target.
+	late  bool
+	first time.Duration
+	trace []slog.Attr
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -37,7 +37,7 @@
 	// Hosts is the number of hosts that share endpoints' connections.
 	Hosts func() int
 	// Ending says whether the process is about to end, and the time left to it.
-	Ending func() (left time.Duration, ending bool)
-	Metrics  *Metrics
-	Log      *slog.Logger
+	Ending  func() (left time.Duration, ending bool)
+	Metrics *Metrics
+	Log     *slog.Logger
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,10 @@
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
+// codeRejected names the refusal of an endpoint that states not to have run
+// the request.
+const codeRejected = "endpoint_rejected"
+
 const (
 	// maxSends bounds the sends of one request, rejected ones included.
 	maxSends = 4
@@ -25,7 +29,7 @@
 func (q *request) dispatch(e *endpoint.Endpoint) *Dispatch {
 	return &Dispatch{
 		Endpoint: e, Workspace: q.workspaceName(), Left: q.left(),
-		Priority: q.priority(), Engine: q.service.Engine != nil,
+		Priority: q.rank(), Engine: q.service.Engine != nil,
 		Once:        q.route.Kind != catalog.Repeatable,
 		Connections: q.connections(),
 		Deadline:    q.until.Add(lateMargin),
@@ -70,13 +74,13 @@
 		return nil, err
 	}
 	if reply.NotRun || reply.Moved {
-		code := "rejected"
+		code := codeRejected
 		if reply.Moved {
-			code = "moved"
+			code = "endpoint_moved"
 		}
 		q.g.o.Metrics.Sends.Add(code, 1)
 		_ = reply.Body.Close()
-		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "endpoint_"+code, "the endpoint did not run the request").After(retryBusy)
+		return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, code, "the endpoint did not run the request").After(retryBusy)
 	}
 	q.runs++
 	q.g.o.Metrics.Sends.Add("answered", 1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,6 +44,7 @@
 		return errNoEndpoint()
 	}
 	q.tracePlan(&plan)
+	q.late = q.route.Target > 0 && !out.begun && time.Since(q.begun)+plan.FirstEvent > q.route.Target
 	if wait := q.patience(); !out.begun && time.Since(q.begun)+plan.FirstEvent > wait {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "too_late", "the first event would come after the caller has left").After(retryBusy)
 	}
@@ -61,11 +62,17 @@
 	d := q.dispatch(plan.Run)
 	d.Source = prefilled.Source
 	err = q.run(ctx, d, f, out)
-	if err != nil && verdict.Of(err) == verdict.NotRun {
+	switch {
+	case err == nil:
+		q.g.o.Tracker.Taken(plan.Prefill)
+	case verdict.Of(err) == verdict.NotRun:
 		q.release(&plan, prefilled)
-		// The engine may be tried again with a whole run: it has room if only
-		// the cache could not be had.
-		job.Whole = true
+		if verdict.As(err).Code == codeRejected {
+			// The decoding engine has room if only the cache could not be had.
+			q.g.o.Tracker.Lapsed(time.Now(), plan.Prefill)
+			delete(q.exclude, plan.Run.ID)
+		}
+		job.Whole = q.prefills >= maxPrefills
 	}
 	return err
 }
@@ -77,6 +84,9 @@
 	return min(wait, q.until.Sub(q.begun))
 }
 
+// maxPrefills bounds the engines that read one prompt for another to generate.
+const maxPrefills = 2
+
 const (
 	abandonFloor   = 2 * time.Second
 	abandonTargets = 4
@@ -107,9 +117,12 @@
 	if err != nil {
 		q.g.o.Metrics.Sends.Add("prefill_"+verdict.As(err).Code, 1)
 		q.exclude[plan.Prefill.ID] = true
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			f.Done()
-		} else {
+		case verdict.As(err).Code == "prefill_rejected":
+			f.Rejected(time.Now())
+		default:
 			f.Failed(time.Now())
 		}
 		return Prefilled{}, err
@@ -144,9 +157,12 @@
 	d.After = out.lastID
 	reply, err := q.send(ctx, d)
 	if err != nil {
-		if ctx.Err() != nil || verdict.As(err).Code == "endpoint_rejected" {
+		switch {
+		case ctx.Err() != nil || d.Source != "" && verdict.As(err).Code == codeRejected:
 			f.Done()
-		} else {
+		case verdict.As(err).Code == codeRejected:
+			f.Rejected(time.Now())
+		default:
 			f.Failed(time.Now())
 		}
 		return err
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -15,10 +15,10 @@
 const (
 	// configEvery is the time between reads that prove the configuration to be
 	// current; a change is seen by the watch, or by the next read at the latest.
-	configEvery = 700 * time.Millisecond
+	configEvery = 1300 * time.Millisecond
 	// endpointsEvery is the time between whole listings of the endpoints: a
 	// watch may stay silent while entries change.
-	endpointsEvery = 900 * time.Millisecond
+	endpointsEvery = 1300 * time.Millisecond
 	// watchWait bounds one watch, watchTimeout the wait for its answer beyond
 	// that, watchRetry the pause after a failed one, watchSpacing that after
 	// each, which bounds the calls when much changes.
@@ -233,6 +233,7 @@
 		h.o.Log.Info("endpoint added", observe.FieldEndpoint, e.ID, "address", e.Address, "service", e.Service, "stage", e.Stage.String())
 	}
 	for _, e := range c.Restaged {
+		h.tracker.Switched(e.ID)
 		h.o.Log.Info("endpoint changed its stage", observe.FieldEndpoint, e.ID, "stage", e.Stage.String())
 	}
 	for _, e := range c.Left {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,14 +80,16 @@
 
 	mu sync.Mutex
 	// leader is the host that last said to have the duties.
-	leader   string
+	leader string
+	// ordered is until when engines that this host ordered change their stage.
+	ordered  map[string]time.Time
 	leaderAt time.Time
 }
 
 // New returns a host that does nothing yet.
 func New(o Options) *Host {
 	s := o.Settings
-	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision)}
+	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision), ordered: make(map[string]time.Time)}
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
 	h.endpoints = endpoint.NewSet(s.Returned)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
@@ -121,7 +123,7 @@
 		Host: h.o.Settings.Name, Incarnation: h.inc, Leases: h.leases, Clock: h.clock,
 		Quiet: h.o.Settings.Lease + quietMargin, Settle: usageSettle,
 		Counter: h.counter, Store: h.o.Ports.Store, Reporter: h.o.Ports.Reporter, Engines: h.o.Ports.Engines,
-		Catalog: h.catalog, Endpoints: h.endpoints, Balance: duty.DefaultBalance(), Log: h.o.Log,
+		Catalog: h.catalog, Endpoints: h.endpoints, Balance: duty.DefaultBalance(), Switching: h.switching, Log: h.o.Log,
 	})
 }
 
@@ -170,7 +172,7 @@
 	return &peer.Snapshot{
 		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: time.Since(h.begun).Milliseconds(), Wall: time.Now().UnixMilli(),
 		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.counter.Own(),
-		Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
+		Switching: h.switches(), Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
 	}
 }
 
@@ -179,6 +181,7 @@
 	now := time.Now()
 	h.tracker.Peer(now, s.Host, s.Loads, s.Placed)
 	h.limiter.Peer(s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
+	h.tracker.Switching(now, s.Switching)
 	h.counter.Peer(s.Incarnation, s.Usage)
 	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
 	h.mu.Lock()
@@ -191,6 +194,34 @@
 	}
 }
 
+// switching notes an engine that this host ordered to change its stage.
+func (h *Host) switching(e *endpoint.Endpoint, takes time.Duration) {
+	now := time.Now()
+	h.tracker.Switching(now, map[string]time.Duration{e.ID: takes})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ordered[e.ID] = now.Add(takes)
+}
+
+// switches are the engines that change their stage by this host's orders.
+func (h *Host) switches() map[string]time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out map[string]time.Duration
+	for id, until := range h.ordered {
+		left := time.Until(until)
+		if left <= 0 {
+			delete(h.ordered, id)
+			continue
+		}
+		if out == nil {
+			out = make(map[string]time.Duration)
+		}
+		out[id] = left
+	}
+	return out
+}
+
 // Ready says whether callers should be sent to this host.
 func (h *Host) Ready() bool {
 	return !h.draining.Load() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.Listed()
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -5,6 +5,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/acacialink/acacialink/internal/placement"
 )
 
@@ -23,6 +25,9 @@
 	Spent map[string]int64 `json:"spent,omitempty"`
 	// Usage counts the requests that began, by window and workspace.
 	Usage map[int64]map[string]int64 `json:"usage,omitempty"`
+	// Switching holds the engines that this host ordered to change their stage,
+	// and the time left.
+	Switching map[string]time.Duration `json:"switching,omitempty"`
 	// Leads says that it holds the control lease; Draining that it is about to end.
 	Leads    bool `json:"leads,omitempty"`
 	Draining bool `json:"draining,omitempty"`
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -37,6 +37,6 @@
 		Crossing:   2,
 		StreamCost: 500 * time.Microsecond,
 		MoveCost:   time.Millisecond, CrossingCost: 4 * time.Millisecond,
-		RereadCost: 2 * time.Microsecond,
+		RereadCost: 20 * time.Microsecond,
 	}
 }
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -37,10 +37,10 @@
 	g.jobs[f] = struct{}{}
 	if shared := job.sharedHashes(); len(shared) > 0 {
 		for _, h := range shared {
-			g.hold(now, h)
+			g.hold(now, now.Add(p.FirstEvent), h)
 		}
 		if len(t.placed) < maxPlaced {
-			t.placed = append(t.placed, Placed{Engine: e.ID, Parts: shared})
+			t.placed = append(t.placed, Placed{Engine: e.ID, Parts: shared, ReadIn: p.FirstEvent})
 		}
 	}
 	return f
@@ -68,7 +68,7 @@
 	f := &Flight{tracker: t, engine: g, stage: e.Stage, begun: now, memory: job.Prompt + job.Output, isRun: true, readDone: true}
 	g.jobs[f] = struct{}{}
 	for _, h := range job.sharedHashes() {
-		g.hold(now, h)
+		g.hold(now, now, h)
 	}
 	return f
 }
@@ -103,7 +103,7 @@
 		return
 	}
 	f.readDone = true
-	f.engine.failures, f.engine.avoid = 0, time.Time{}
+	f.engine.failures, f.engine.rejects, f.engine.avoid = 0, 0, time.Time{}
 	took := now.Sub(f.begun)
 	if f.idle && f.read >= minSample {
 		prompt := 0
@@ -154,3 +154,71 @@
 	avoidDoublings = 4
 	avoidLongest   = 3 * time.Second
 )
+
+// Rejected ends the flight after the engine refused to run the request: it is
+// full or changes its stage, and refuses the next one too.
+func (f *Flight) Rejected(now time.Time) {
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	delete(f.engine.jobs, f)
+	f.engine.rejects++
+	f.engine.avoid = now.Add(min(rejectFirst<<min(f.engine.rejects-1, rejectDoublings), rejectLongest))
+}
+
+// Lapsed notes that a cache that was prefilled at an engine could not be taken:
+// for a while none is made there.
+func (t *Tracker) Lapsed(now time.Time, e *endpoint.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.engine(e)
+	g.lapses++
+	g.noHandles = now.Add(min(lapseFirst<<min(g.lapses-1, lapseDoublings), lapseLongest))
+}
+
+// Taken notes that a prefilled cache was taken.
+func (t *Tracker) Taken(e *endpoint.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.engine(e)
+	g.lapses, g.noHandles = 0, time.Time{}
+}
+
+const (
+	// rejectFirst is how long an engine is avoided after one rejection, doubled
+	// up to rejectLongest: a full engine has room again within a few steps, one
+	// that changes its stage within seconds.
+	rejectFirst     = 60 * time.Millisecond
+	rejectDoublings = 4
+	rejectLongest   = time.Second
+	// lapseFirst is how long no cache is prefilled where one lapsed, doubled up
+	// to lapseLongest.
+	lapseFirst     = 300 * time.Millisecond
+	lapseDoublings = 3
+	lapseLongest   = 2 * time.Second
+)
+
+// Switching notes that engines change their stage and run nothing until then.
+func (t *Tracker) Switching(now time.Time, engines map[string]time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, left := range engines {
+		t.switches[id] = now.Add(left)
+	}
+	for id, until := range t.switches {
+		if now.After(until) {
+			delete(t.switches, id)
+		}
+	}
+}
+
+// switching says whether the engine changes its stage. The caller holds mu.
+func (t *Tracker) switching(now time.Time, id string) bool {
+	return now.Before(t.switches[id])
+}
+
+// Switched notes that an engine has changed its stage.
+func (t *Tracker) Switched(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.switches, id)
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -12,8 +12,10 @@
 	g      *engine
 	load   Load
 	cached int
-	rate   float64
-	avoid  bool
+	// fetchable is what other engines could take from it now.
+	fetchable int
+	rate      float64
+	avoid     bool
 }
 
 // Plan chooses engines for a job; false means that none can take it. The plan
@@ -41,7 +43,7 @@
 			p := Plan{Run: v.e, Fetch: fetch, FirstEvent: reading, Read: read}
 			offer(p, reading+t.charge(v, read, job))
 		case endpoint.StagePrefill:
-			if job.Whole || runner == nil {
+			if job.Whole || runner == nil || now.Before(v.g.noHandles) {
 				continue
 			}
 			move := t.move(v, runner, job, m)
@@ -61,7 +63,11 @@
 			continue
 		}
 		g := t.engine(e)
-		v := view{e: e, g: g, load: t.load(now, e.ID), cached: min(g.cached(now, job.Parts), job.Prompt), rate: t.rates[e.Stage].perMS, avoid: now.Before(g.avoid)}
+		queued, fetchable := g.cached(now, job.Parts)
+		v := view{
+			e: e, g: g, load: t.load(now, e.ID), cached: min(queued, job.Prompt), fetchable: min(fetchable, job.Prompt),
+			rate: t.rates[e.Stage].perMS, avoid: now.Before(g.avoid) || t.switching(now, e.ID),
+		}
 		if !v.avoid {
 			usable++
 		}
@@ -105,7 +111,7 @@
 	var best *view
 	for i := range views {
 		v := &views[i]
-		if v.cached > 0 && !v.avoid && (best == nil || v.cached > best.cached) {
+		if v.fetchable > 0 && (best == nil || v.fetchable > best.fetchable) {
 			best = v
 		}
 	}
@@ -116,19 +122,20 @@
 // parts that it lacks.
 func (t *Tracker) read(v, source *view, job *Job, m Memory) (tokens int, fetch string, fetchTime time.Duration) {
 	tokens = max(1, job.Prompt-v.cached)
-	if source == nil || source == v || source.cached-v.cached < minFetch || m.LinkMbps <= 0 {
+	if source == nil || source == v || source.fetchable-v.cached < minFetch || m.LinkMbps <= 0 {
 		return tokens, "", 0
 	}
-	moved := source.cached - v.cached
+	moved := source.fetchable - v.cached
 	fetchTime = t.moveTime(source, v, moved, m)
-	if fetchTime >= time.Duration(float64(moved)/v.rate*float64(time.Millisecond)) {
+	saved := time.Duration(float64(moved)/v.rate*float64(time.Millisecond)) + time.Duration(moved)*t.costs.RereadCost
+	if fetchTime >= saved {
 		return tokens, "", 0
 	}
-	return max(1, job.Prompt-source.cached), source.e.Address, fetchTime
+	return max(1, job.Prompt-source.fetchable), source.e.Address, fetchTime
 }
 
 // minFetch is the least tokens that are worth a fetch from another engine.
-const minFetch = 512
+const minFetch = 64
 
 // reading is the predicted time until the engine has prefilled the prompt.
 func (t *Tracker) reading(v *view, job *Job, read int) time.Duration {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -34,6 +34,8 @@
 	rates map[endpoint.Stage]*rate
 	// placed are the dispatches that peers have not been told of.
 	placed []Placed
+	// switches holds the engines that change their stage, and until when.
+	switches map[string]time.Time
 }
 
 type peerLoad struct {
@@ -48,19 +50,27 @@
 type Placed struct {
 	Engine string   `json:"e"`
 	Parts  []uint64 `json:"p"`
+	// ReadIn is the predicted time until they are read, in ns.
+	ReadIn time.Duration `json:"r"`
 }
 
 // engine is what is known of one engine's start.
 type engine struct {
 	key   endpoint.Key
 	jobs  map[*Flight]struct{}
-	parts map[uint64]time.Time
+	parts map[uint64]part
 	// slow is the smoothed ratio of observed to predicted times, at least 1.
 	slow float64
 	// failures are consecutive failures; avoid is until when the engine is
 	// picked only if there is no other.
 	failures int
 	avoid    time.Time
+	// rejects are consecutive rejections, which say that it is full or changes
+	// its stage; lapses are consecutive prefilled caches that were gone, and
+	// noHandles is until when none is made there.
+	rejects   int
+	lapses    int
+	noHandles time.Time
 	// errors is the smoothed share of calls that it failed.
 	errors float64
 }
@@ -68,7 +78,7 @@
 // NewTracker returns a tracker that knows no engines.
 func NewTracker(c Costs) *Tracker {
 	return &Tracker{
-		costs: c, engines: make(map[string]*engine), peers: make(map[string]peerLoad),
+		costs: c, engines: make(map[string]*engine), peers: make(map[string]peerLoad), switches: make(map[string]time.Time),
 		rates: map[endpoint.Stage]*rate{
 			endpoint.StagePrefill: {perMS: c.PrefillRate},
 			endpoint.StageDecode:  {perMS: c.DecodeRate},
@@ -80,7 +90,7 @@
 func (t *Tracker) engine(e *endpoint.Endpoint) *engine {
 	g := t.engines[e.ID]
 	if g == nil || g.key != e.Key() {
-		g = &engine{key: e.Key(), jobs: make(map[*Flight]struct{}), parts: make(map[uint64]time.Time), slow: 1}
+		g = &engine{key: e.Key(), jobs: make(map[*Flight]struct{}), parts: make(map[uint64]part), slow: 1}
 		t.engines[e.ID] = g
 	}
 	return g
@@ -139,7 +149,7 @@
 	for _, p := range placed {
 		if g := t.engines[p.Engine]; g != nil {
 			for _, h := range p.Parts {
-				g.hold(now, h)
+				g.hold(now, now.Add(p.ReadIn), h)
 			}
 		}
 	}
@@ -160,10 +170,16 @@
 	maxParts = 4096
 )
 
-func (g *engine) hold(now time.Time, hash uint64) {
+// part is one part of prompts that an engine holds.
+type part struct {
+	// used is when it was last asked for, ready when it was or will be read.
+	used, ready time.Time
+}
+
+func (g *engine) hold(now, ready time.Time, hash uint64) {
 	if len(g.parts) >= maxParts {
-		for h, at := range g.parts {
-			if now.Sub(at) > partLife || len(g.parts) >= maxParts {
+		for h, p := range g.parts {
+			if now.Sub(p.used) > partLife || len(g.parts) >= maxParts {
 				delete(g.parts, h)
 			}
 			if len(g.parts) < maxParts*3/4 {
@@ -171,20 +187,27 @@
 			}
 		}
 	}
-	g.parts[hash] = now
+	if old, ok := g.parts[hash]; ok && old.ready.Before(ready) {
+		ready = old.ready
+	}
+	g.parts[hash] = part{used: now, ready: ready}
 }
 
-// cached is how many tokens from the prompt's start the engine holds.
-func (g *engine) cached(now time.Time, parts []Part) int {
-	sum := 0
+// cached is how many tokens from the prompt's start the engine holds by the
+// time it would begin with it, and how many another engine could fetch now.
+func (g *engine) cached(now time.Time, parts []Part) (queued, fetchable int) {
+	ready := true
 	for _, p := range parts {
-		at, ok := g.parts[p.Hash]
-		if !ok || now.Sub(at) > partLife {
+		held, ok := g.parts[p.Hash]
+		if !ok || now.Sub(held.used) > partLife {
 			break
 		}
-		sum += p.Tokens
+		queued += p.Tokens
+		if ready = ready && !held.ready.After(now); ready {
+			fetchable += p.Tokens
+		}
 	}
-	return sum
+	return queued, fetchable
 }
 
 // rate is a learned reading speed.
