placement, limit: spare the decoding engines; rates by window that hold in a split

Hosts that lose each other could each take a full burst: 598,228 tokens in a window of 536,000 (property test). Change: a reading at a decoding engine is charged 8 times to the job that causes it, two thirds of the engines prefill; a host takes its part of a bucket until peers know of it and sets a silent peer's part aside; the burst refills in each window.

--- a/internal/duty/stages.go
+++ b/internal/duty/stages.go
@@ -72,7 +72,7 @@
 
 const (
 	// prefillShare and minDecode are the default balance.
-	prefillShare = 0.56
+	prefillShare = 0.67
 	minDecode    = 2
 )
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,7 +31,7 @@
 		if ctx.Err() != nil || out.failed || !q.again(err) {
 			return q.final(err)
 		}
-		q.g.o.Log.Info("request sent again", observe.FieldRequestID, q.call.ID, observe.FieldError, err, "after_event", out.lastID)
+		q.g.o.Log.LogAttrs(ctx, slog.LevelInfo, "request sent again", append([]slog.Attr{slog.String(observe.FieldRequestID, q.call.ID), slog.Any(observe.FieldError, err), slog.String("after_event", out.lastID)}, q.trace...)...)
 	}
 }
 
@@ -95,7 +95,7 @@
 
 func (q *request) tracePlan(p *placement.Plan) {
 	q.trace = append(q.trace[:0],
-		slog.String(observe.FieldEndpoint, p.Run.ID), slog.Duration("predicted_ms", p.FirstEvent), slog.Int("read_tokens", p.Read))
+		slog.String(observe.FieldEndpoint, p.Run.ID), slog.Duration("predicted_ms", p.FirstEvent), slog.Int("read_tokens", p.Read), slog.Int("rank", q.rank()))
 	if p.Prefill != nil {
 		q.trace = append(q.trace, slog.String("prefill", p.Prefill.ID))
 	}
@@ -113,6 +113,7 @@
 	f := q.g.o.Tracker.Begin(time.Now(), plan.Prefill, plan, job)
 	d := q.dispatch(plan.Prefill)
 	d.Prefill, d.Fetch = true, plan.Fetch
+	sent := time.Now()
 	prefilled, err := q.g.o.Sender.Prefill(ctx, q.call, d)
 	if err != nil {
 		q.g.o.Metrics.Sends.Add("prefill_"+verdict.As(err).Code, 1)
@@ -130,6 +131,7 @@
 	q.g.o.Metrics.Sends.Add("prefilled", 1)
 	f.Read(time.Now())
 	f.Done()
+	q.trace = append(q.trace, slog.Duration("prefill_ms", time.Since(sent)))
 	return prefilled, nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -93,12 +93,12 @@
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
 	h.endpoints = endpoint.NewSet(s.Returned)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
-	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Full: s.FirstStart}, h.audible)
 	h.truetime = truetime.New(h.clock, time.Now)
 	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
 	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Ports.Store, o.Log)
-	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, Take: h.hear, Gone: h.tracker.DropPeer, Log: o.Log})
+	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
+	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Window: s.QuotaWindow, Full: s.FirstStart}, h.group)
 	h.leases = h.newLeases()
 	h.holder = h.newHolder()
 	h.gateway = gateway.New(gateway.Options{
@@ -146,10 +146,12 @@
 	return n
 }
 
-// audible is the share of hosts that this host hears.
-func (h *Host) audible() float64 {
-	n, heard := h.group.Audible()
-	return float64(heard) / float64(n)
+// told notes what a peer knows of this host, gone that a peer has left.
+func (h *Host) told(host string, s *peer.Snapshot) { h.limiter.Told(host, s.Spent) }
+
+func (h *Host) gone(host string) {
+	h.tracker.DropPeer(host)
+	h.limiter.Gone(host)
 }
 
 // preferred is the host that should have the duties: the one that has them.
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -35,6 +35,8 @@
 	RetrySlack  float64
 	// QuotaSlack is the tokens that all hosts may go over a workspace's rate.
 	QuotaSlack float64
+	// QuotaWindow is the span in which a workspace may use its rate and burst.
+	QuotaWindow time.Duration
 	// Lease is the time in which holders of duties must not take turns.
 	Lease time.Duration
 	// UsageWindow is the length of a usage window.
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -24,6 +24,8 @@
 	// Make returns this host's snapshot, Take handles a peer's.
 	Make func() *Snapshot
 	Take func(*Snapshot)
+	// Told is called when a peer has taken a snapshot of this host.
+	Told func(peer string, s *Snapshot)
 	// Gone is told of peers that left the directory.
 	Gone func(host string)
 	Log  *slog.Logger
@@ -128,7 +130,8 @@
 	defer ticker.Stop()
 	lost := false
 	for {
-		in, err := l.exchange(ctx, g.snapshot())
+		out := g.snapshot()
+		in, err := l.exchange(ctx, out)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -140,6 +143,7 @@
 				g.o.Log.Info("peer regained", observe.FieldPeer, e.Host)
 			}
 			lost = false
+			g.o.Told(e.Host, out)
 			g.take(in)
 		}
 		select {
@@ -150,19 +154,18 @@
 	}
 }
 
-// Audible is the number of hosts, this one included, and how many of them this
-// host hears, itself included.
-func (g *Group) Audible() (hosts, heard int) {
+// Audible is the number of hosts, this one included, and the names of the
+// others that this host hears.
+func (g *Group) Audible() (hosts int, heard []string) {
 	others := g.o.Directory.Others()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	hosts, heard = 1, 1
+	heard = make([]string, 0, len(others))
 	for name := range others {
-		hosts++
 		if now.Sub(g.heard[name]) < audibleFor {
-			heard++
+			heard = append(heard, name)
 		}
 	}
-	return hosts, heard
+	return len(others) + 1, heard
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -41,7 +41,7 @@
 		switch v.e.Stage {
 		case endpoint.StageDecode:
 			p := Plan{Run: v.e, Fetch: fetch, FirstEvent: reading, Read: read}
-			offer(p, reading+t.charge(v, read, job))
+			offer(p, reading+t.charge(v, read, job)+t.interference(v, read))
 		case endpoint.StagePrefill:
 			if job.Whole || runner == nil || now.Before(v.g.noHandles) {
 				continue
@@ -169,6 +169,17 @@
 	return best, bestScore
 }
 
+// interference is what a prompt read at a decoding engine costs its streams
+// and those that wait for a place in its batch.
+func (t *Tracker) interference(v *view, read int) time.Duration {
+	ms := float64(read) / v.rate * interferenceShare
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// interferenceShare is the part of a reading at a decoding engine that is
+// charged to the job beside its own wait.
+const interferenceShare = 8.0
+
 // decodeShare is the part of an engine's own reading that a new stream feels.
 const decodeShare = 0.3
 
