lease, placement: a lease is renewed until the store ends it; memory and domains in plans

Change: the lease is renewed until the store says that it ended, and is not used meanwhile; a plan is charged for memory beyond 0.7 and more for moves between domains; peers hear usage counts once in 0.8 s.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,7 +38,7 @@
 // generate makes one try: it places the job, has the prompt read, and relays
 // the events.
 func (q *request) generate(ctx context.Context, job *placement.Job, out *eventWriter) error {
-	m := placement.Memory{TokenBytes: q.service.Engine.TokenBytes, LinkMbps: q.service.Engine.LinkMbps}
+	m := placement.Memory{TokenBytes: q.service.Engine.TokenBytes, LinkMbps: q.service.Engine.LinkMbps, Capacity: q.service.Engine.MemoryTokens}
 	plan, ok := q.g.o.Tracker.Plan(time.Now(), q.g.o.Endpoints.Service(q.service.Name), job, m)
 	if !ok {
 		return errNoEndpoint()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,8 @@
 	mu sync.Mutex
 	// leader is the host that last said to have the duties.
 	leader string
+	// usageAt is when peers were last told of usage counts.
+	usageAt time.Time
 	// ordered is until when engines that this host ordered change their stage.
 	ordered  map[string]time.Time
 	leaderAt time.Time
@@ -173,7 +175,7 @@
 	_, _, leads := h.leases.Held(duty.Piece)
 	return &peer.Snapshot{
 		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: time.Since(h.begun).Milliseconds(), Wall: time.Now().UnixMilli(),
-		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.counter.Own(),
+		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.usage(),
 		Switching: h.switches(), Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
 	}
 }
@@ -196,6 +198,20 @@
 	}
 }
 
+// usageEvery is the time between the snapshots that hold usage counts.
+const usageEvery = 800 * time.Millisecond
+
+// usage is the counts for peers, or nil in the snapshots between.
+func (h *Host) usage() map[int64]map[string]int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now := time.Now(); now.Sub(h.usageAt) >= usageEvery {
+		h.usageAt = now
+		return h.counter.Own()
+	}
+	return nil
+}
+
 // switching notes an engine that this host ordered to change its stage.
 func (h *Host) switching(e *endpoint.Endpoint, takes time.Duration) {
 	now := time.Now()
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -28,8 +28,10 @@
 		return
 	}
 	if err != nil {
+		// A store that is away may hold its leases meanwhile: this one is
+		// renewed until the store says that it has ended. It is not used beyond
+		// its time, see left.
 		s.stats.Failures.Add(1)
-		s.forgetOverdue(id)
 		return
 	}
 	s.extend(id, before, answer)
@@ -60,17 +62,6 @@
 	clear(s.unsure)
 }
 
-// forgetOverdue forgets a lease that the store has dropped by now, however
-// slow its clock. It is not renewed any more: its keys are gone.
-func (s *Set) forgetOverdue(id backing.LeaseID) {
-	s.mu.Lock()
-	overdue := s.o.Clock.Now().Since(s.granted) > s.ttl+s.o.Settings.Margin
-	s.mu.Unlock()
-	if overdue {
-		s.forget(id)
-	}
-}
-
 // current returns a lease that can be used, granting one when there is none.
 func (s *Set) current(ctx context.Context) (backing.LeaseID, bool) {
 	s.mu.Lock()
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -36,7 +36,7 @@
 		Fixed:     6 * time.Millisecond, Handover: 3 * time.Millisecond,
 		Crossing:   2,
 		StreamCost: 500 * time.Microsecond,
-		MoveCost:   time.Millisecond, CrossingCost: 4 * time.Millisecond,
+		MoveCost:   time.Millisecond, CrossingCost: 20 * time.Millisecond,
 		RereadCost: 20 * time.Microsecond,
 	}
 }
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -32,6 +32,8 @@
 type Memory struct {
 	TokenBytes int64
 	LinkMbps   float64
+	// Capacity is the KV cache of one engine, in tokens.
+	Capacity int64
 }
 
 // perToken is the time to move the cache of one token.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -33,7 +33,7 @@
 		}
 	}
 	source := longest(views, job)
-	runner, runnerScore := t.runner(views, job)
+	runner, runnerScore := t.runner(views, job, m)
 	for i := range views {
 		v := &views[i]
 		read, fetch, fetchTime := t.read(v, source, job, m)
@@ -41,7 +41,7 @@
 		switch v.e.Stage {
 		case endpoint.StageDecode:
 			p := Plan{Run: v.e, Fetch: fetch, FirstEvent: reading, Read: read}
-			offer(p, reading+t.charge(v, read, job)+t.interference(v, read))
+			offer(p, reading+t.charge(v, read, job)+t.interference(v, read)+shortage(v, job, m))
 		case endpoint.StagePrefill:
 			if job.Whole || runner == nil || now.Before(v.g.noHandles) {
 				continue
@@ -147,7 +147,7 @@
 
 // runner is the decoding engine with the least to do, in the job's domain if
 // that costs little.
-func (t *Tracker) runner(views []view, job *Job) (*view, time.Duration) {
+func (t *Tracker) runner(views []view, job *Job, m Memory) (*view, time.Duration) {
 	var best *view
 	var bestScore time.Duration
 	for i := range views {
@@ -162,6 +162,7 @@
 		if v.avoid {
 			score += avoidCharge
 		}
+		score += shortage(v, job, m)
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
 		}
@@ -180,6 +181,25 @@
 // charged to the job beside its own wait.
 const interferenceShare = 8.0
 
+// shortage is charged for an engine whose memory the job would fill: requests
+// wait there until others end, or are preempted.
+func shortage(v *view, job *Job, m Memory) time.Duration {
+	if m.Capacity <= 0 {
+		return 0
+	}
+	full := float64(v.load.Memory+job.Prompt+job.Output) / float64(m.Capacity)
+	return time.Duration(max(0, full-memoryShare) * float64(shortageCharge))
+}
+
+const (
+	// memoryShare is the part of an engine's memory that requests in flight
+	// may fill before it is charged for; the rest holds shared parts.
+	memoryShare = 0.7
+	// shortageCharge is the charge for a whole engine's memory beyond that: the
+	// time in which about as much becomes free.
+	shortageCharge = 4 * time.Second
+)
+
 // decodeShare is the part of an engine's own reading that a new stream feels.
 const decodeShare = 0.3
 
