--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,6 +58,12 @@
 	if err != nil {
 		return err
 	}
+	run, ok := q.g.o.Tracker.Runner(time.Now(), q.g.o.Endpoints.Service(q.service.Name), job, m, plan.Prefill)
+	if !ok {
+		q.release(&plan, prefilled)
+		return errNoEndpoint()
+	}
+	plan.Run = run
 	f := q.g.o.Tracker.BeginRun(time.Now(), plan.Run, job)
 	d := q.dispatch(plan.Run)
 	d.Source = prefilled.Source
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -55,6 +55,31 @@
 	return best, found
 }
 
+// Runner chooses where an answer is generated whose prompt was read at from. It
+// is asked once the prompt is read: until then engines come, leave and fill up.
+func (t *Tracker) Runner(now time.Time, engines []*endpoint.Endpoint, job *Job, m Memory, from *endpoint.Endpoint) (*endpoint.Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	views := t.views(now, engines, job)
+	source := view{e: from, g: t.engine(from)}
+	var best *view
+	var bestScore time.Duration
+	for i := range views {
+		v := &views[i]
+		if v.e.Stage != endpoint.StageDecode {
+			continue
+		}
+		score := t.running(v, job, m) + t.move(&source, v, job, m) + t.moveCharge(&source, v)
+		if best == nil || score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	return best.e, true
+}
+
 func (t *Tracker) views(now time.Time, engines []*endpoint.Endpoint, job *Job) []view {
 	views := make([]view, 0, len(engines))
 	usable := 0
@@ -145,8 +170,7 @@
 	return time.Duration(float64(took) * v.g.slow)
 }
 
-// runner is the decoding engine with the least to do, in the job's domain if
-// that costs little.
+// runner is the decoding engine with the least to do.
 func (t *Tracker) runner(views []view, job *Job, m Memory) (*view, time.Duration) {
 	var best *view
 	var bestScore time.Duration
@@ -155,14 +179,7 @@
 		if v.e.Stage != endpoint.StageDecode {
 			continue
 		}
-		score := time.Duration(v.load.Streams) * t.costs.StreamCost
-		// Prompts that the engine reads itself slow its steps.
-		score += time.Duration(float64(v.load.Tokens) / v.rate * decodeShare * float64(time.Millisecond))
-		score = time.Duration(float64(score+t.costs.Fixed) * v.g.slow)
-		if v.avoid {
-			score += avoidCharge
-		}
-		score += shortage(v, job, m)
+		score := t.running(v, job, m)
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
 		}
@@ -170,6 +187,19 @@
 	return best, bestScore
 }
 
+// running is the cost of generating an answer at the engine whose prompt was
+// read elsewhere.
+func (t *Tracker) running(v *view, job *Job, m Memory) time.Duration {
+	score := time.Duration(v.load.Streams) * t.costs.StreamCost
+	// Prompts that the engine reads itself slow its steps.
+	score += time.Duration(float64(v.load.Tokens) / v.rate * decodeShare * float64(time.Millisecond))
+	score = time.Duration(float64(score+t.costs.Fixed) * v.g.slow)
+	if v.avoid {
+		score += avoidCharge
+	}
+	return score + shortage(v, job, m)
+}
+
 // interference is what a prompt read at a decoding engine costs its streams
 // and those that wait for a place in its batch.
 func (t *Tracker) interference(v *view, read int) time.Duration {
