--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -40,7 +40,7 @@
 	// Settle is how long after a window's end its counts are collected.
 	Settle    time.Duration
 	Counter   *Counter
-	Store     Store
+	Store     backing.Store
 	Reporter  Reporter
 	Engines   Engines
 	Catalog   *catalog.Holder
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -14,13 +14,6 @@
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
-// Store is what duties need of the platform's store.
-type Store interface {
-	backing.Store
-	// Put writes a key whatever it holds.
-	Put(ctx context.Context, key string, value []byte, lease backing.LeaseID) error
-}
-
 // Reporter takes usage reports.
 type Reporter interface {
 	// Report is idempotent for equal counts. ErrFenced: a later holder reported.
@@ -44,17 +37,18 @@
 // Saver writes this host's counts to the store.
 type Saver struct {
 	Counter     *Counter
-	Store       Store
+	Store       backing.Store
 	Incarnation string
 	Log         *slog.Logger
 
-	leases map[int64]backing.LeaseID
-	saved  map[int64]string
+	leases    map[int64]backing.LeaseID
+	revisions map[int64]backing.Revision
+	saved     map[int64]string
 }
 
 // Run saves until ctx ends, and then once more.
 func (s *Saver) Run(ctx context.Context) {
-	s.leases, s.saved = make(map[int64]backing.LeaseID), make(map[int64]string)
+	s.init()
 	for backing.Pause(ctx, saveEvery) {
 		s.save(ctx)
 	}
@@ -63,6 +57,10 @@
 	s.save(last)
 }
 
+func (s *Saver) init() {
+	s.leases, s.revisions, s.saved = make(map[int64]backing.LeaseID), make(map[int64]backing.Revision), make(map[int64]string)
+}
+
 func (s *Saver) save(ctx context.Context) {
 	for k, counts := range s.Counter.Own() {
 		text, err := json.Marshal(counts)
@@ -84,6 +82,7 @@
 		if k < oldest {
 			delete(s.saved, k)
 			delete(s.leases, k)
+			delete(s.revisions, k)
 		}
 	}
 }
@@ -98,9 +97,19 @@
 		}
 		s.leases[k] = lease.ID
 	}
-	err := s.Store.Put(ctx, countsKey(k)+s.Incarnation, text, s.leases[k])
-	if errors.Is(err, backing.ErrLeaseExpired) {
+	key := countsKey(k) + s.Incarnation
+	revision, err := s.Store.CompareAndSwap(ctx, key, s.revisions[k], text, s.leases[k])
+	switch {
+	case err == nil:
+		s.revisions[k] = revision
+	case errors.Is(err, backing.ErrLeaseExpired):
 		delete(s.leases, k)
+	case errors.Is(err, backing.ErrConflict):
+		// Nobody else writes this key: an earlier write whose answer was lost.
+		kv, lookErr := s.Store.Get(ctx, key)
+		if lookErr == nil || errors.Is(lookErr, backing.ErrNotFound) {
+			s.revisions[k] = kv.Revision
+		}
 	}
 	return errors.Wrap(err, "write usage counts")
 }
@@ -110,7 +119,7 @@
 // reporting reports windows, once each, while this host holds the duty.
 type reporting struct {
 	counter     *Counter
-	store       Store
+	store       backing.Store
 	reporter    Reporter
 	host        string
 	incarnation string
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -18,7 +18,7 @@
 )
 
 // admit finds the route and the workspace of the request.
-func (q *request) admit(r *http.Request) error {
+func (q *request) admit() error {
 	h := q.g.o.Catalog
 	q.catalog = h.Current()
 	age, _ := h.Age()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	if err := q.admit(r); err != nil {
+	if err := q.admit(); err != nil {
 		return err
 	}
 	if err := q.readBody(r); err != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,12 +29,12 @@
 		if err == nil {
 			err = q.relayWhole(reply)
 			if err == nil {
-				f.Outcome(reply.Status < http.StatusInternalServerError)
+				f.Outcome(time.Now(), reply.Status < http.StatusInternalServerError)
 				f.Done()
 				return nil
 			}
 		}
-		f.Outcome(false)
+		f.Outcome(time.Now(), false)
 		if verdict.Of(err) == verdict.NotRun || verdict.As(err).Code != "endpoint_failed" {
 			f.Failed(time.Now())
 		} else {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -98,7 +98,7 @@
 	h.truetime = truetime.New(h.clock, time.Now)
 	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
-	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Ports.Store, o.Log)
+	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Log)
 	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
 	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Window: s.QuotaWindow, Full: s.FirstStart}, h.group)
 	h.leases = h.newLeases()
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -64,7 +64,7 @@
 
 // Ports are the host's ways to the platform.
 type Ports struct {
-	Store       duty.Store
+	Store       backing.Store
 	Config      ConfigSource
 	Endpoints   EndpointSource
 	Ingress     gateway.Ingress
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -118,7 +118,7 @@
 // head reads answers until one belongs to the request.
 func (p *Pool) head(address string, c *conn, r *Request) (*Answer, error) {
 	for range maxStray + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is kept or closed as a whole
 		if err != nil {
 			return nil, err
 		}
--- a/internal/outbound/exchange_test.go
+++ b/internal/outbound/exchange_test.go
@@ -25,7 +25,7 @@
 // connection, and reads requests itself.
 func play(t *testing.T, script func(p *peer, n int64, c net.Conn, r *bufio.Reader)) *peer {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // loopback
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -39,17 +39,11 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Putter writes keys whatever they hold.
-type Putter interface {
-	Put(ctx context.Context, key string, value []byte, lease backing.LeaseID) error
-}
-
 // Directory keeps the host's own entry in the store and knows those of others.
 // It is safe for concurrent use.
 type Directory struct {
 	self  Entry
 	store backing.Store
-	put   Putter
 	log   *slog.Logger
 
 	mu    sync.Mutex
@@ -58,8 +52,8 @@
 }
 
 // NewDirectory returns a directory that knows only the host itself.
-func NewDirectory(self Entry, store backing.Store, put Putter, log *slog.Logger) *Directory {
-	return &Directory{self: self, store: store, put: put, log: log, hosts: make(map[string]Entry)}
+func NewDirectory(self Entry, store backing.Store, log *slog.Logger) *Directory {
+	return &Directory{self: self, store: store, log: log, hosts: make(map[string]Entry)}
 }
 
 // Others returns the other hosts, by name.
@@ -116,7 +110,7 @@
 		d.log.Error("host entry cannot be encoded", observe.FieldError, err)
 		return
 	}
-	if err := d.put.Put(ctx, hostsPrefix+d.self.Host, value, granted.ID); err != nil {
+	if err := d.write(ctx, value, granted.ID); err != nil {
 		d.log.Warn("host entry was not written", observe.FieldError, err)
 		return
 	}
@@ -126,6 +120,17 @@
 	d.log.Info("host entry written", observe.FieldLease, int64(granted.ID))
 }
 
+// write puts the entry over one of an earlier start of this host, if there is one.
+func (d *Directory) write(ctx context.Context, value []byte, lease backing.LeaseID) error {
+	key := hostsPrefix + d.self.Host
+	old, err := d.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, backing.ErrNotFound) {
+		return errors.Wrap(err, "read the old host entry")
+	}
+	_, err = d.store.CompareAndSwap(ctx, key, old.Revision, value, lease)
+	return errors.Wrap(err, "write the host entry")
+}
+
 // leave ends the lease, so that peers do not wait for it to lapse.
 func (d *Directory) leave() {
 	d.mu.Lock()
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -32,7 +32,7 @@
 			best, bestScore, found = p, score, true
 		}
 	}
-	source := longest(views, job)
+	source := longest(views)
 	runner, runnerScore := t.runner(views, job, m)
 	for i := range views {
 		v := &views[i]
@@ -132,7 +132,7 @@
 }
 
 // longest is the engine that holds most of the prompt's start.
-func longest(views []view, job *Job) *view {
+func longest(views []view) *view {
 	var best *view
 	for i := range views {
 		v := &views[i]
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,15 +20,11 @@
 		if exclude[e.ID] {
 			continue
 		}
-		g := t.engine(e)
-		score := (float64(t.load(now, e.ID).Streams) + 1) / float64(max(1, e.Slots)) * (1 + failureWeight*g.errors)
-		if now.Before(g.avoid) {
-			score += avoidScore
-		}
+		score := t.callScore(now, e)
 		switch {
-		case best == nil || score < bestScore:
+		case best == nil || score < bestScore*(1-alike):
 			best, bestScore, ties = e, score, 1
-		case score == bestScore:
+		case score <= bestScore*(1+alike):
 			if ties++; rand.IntN(ties) == 0 {
 				best = e
 			}
@@ -36,6 +33,22 @@
 	return best
 }
 
+// callScore is how busy an endpoint looks. The caller holds mu.
+func (t *Tracker) callScore(now time.Time, e *endpoint.Endpoint) float64 {
+	g := t.engine(e)
+	score := (float64(t.load(now, e.ID).Streams) + 1) / float64(max(1, e.Slots)) * (1 + failureWeight*g.errorsAt(now))
+	if now.Before(g.avoid) {
+		score += avoidScore
+	}
+	return score
+}
+
+// errorsAt is the share of failed calls, as far as it is recent: an endpoint
+// that gets no calls for its failures is tried again.
+func (g *engine) errorsAt(now time.Time) float64 {
+	return g.errors * math.Exp2(-float64(now.Sub(g.failed))/float64(errorHalfLife))
+}
+
 const (
 	// failureWeight makes an endpoint that fails all of its requests look as
 	// busy as one with this many times its work.
@@ -45,6 +58,11 @@
 	// errorWeight is the weight of the latest outcome in an endpoint's share
 	// of failed requests.
 	errorWeight = 0.05
+	// errorHalfLife is the time after its last failure in which the share of
+	// an endpoint's failed calls counts half.
+	errorHalfLife = 2 * time.Second
+	// alike is the difference between scores that decides nothing.
+	alike = 0.05
 )
 
 // BeginCall counts a request at an endpoint of a plain service.
@@ -57,13 +75,14 @@
 }
 
 // Outcome notes whether a call was served; call it before Done.
-func (f *Flight) Outcome(served bool) {
+func (f *Flight) Outcome(now time.Time, served bool) {
 	f.tracker.mu.Lock()
 	defer f.tracker.mu.Unlock()
-	failed := 1.0
+	failed := 0.0
 	if served {
-		failed = 0
 		f.engine.failures, f.engine.avoid = 0, time.Time{}
+	} else {
+		failed, f.engine.failed = 1, now
 	}
 	f.engine.errors += errorWeight * (failed - f.engine.errors)
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -71,8 +71,10 @@
 	rejects   int
 	lapses    int
 	noHandles time.Time
-	// errors is the smoothed share of calls that it failed.
+	// errors is the smoothed share of calls that it failed, failed when the
+	// last one did.
 	errors float64
+	failed time.Time
 }
 
 // NewTracker returns a tracker that knows no engines.
