peer, duty, host: calls and bytes that do not grow with the hosts; explain

Change: exchanges are paced by the number of peers and urged when much was taken unheard; the holder of the duties saves the counts of all that it hears; reads of the store are paced by the bounds they serve. acacialink explain tells one request's story from logs.

--- a/cmd/acacialink/gateway.go
+++ b/cmd/acacialink/gateway.go
@@ -73,7 +73,7 @@
 	b := s.Bounds
 	return host.Settings{
 		Name: s.Host, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Peers: s.Control, FirstStart: s.FirstStart,
-		Revoke: b.Revoke, Returned: b.Returned, Grace: b.Grace,
+		ConfigApply: b.ConfigApply, Drain: b.Drain, Revoke: b.Revoke, Returned: b.Returned, Grace: b.Grace,
 		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetrySlack: b.RetrySlack,
 		QuotaSlack: b.QuotaSlack, QuotaWindow: b.QuotaWindow, Lease: b.Lease, UsageWindow: b.UsageWindow,
 	}
--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -25,6 +25,7 @@
 	addAgent(app)
 	addSettings(app)
 	addCerts(app)
+	addExplain(app)
 	addDump(app)
 	addStandin(app)
 	addDemo(app)
--- a/internal/duty/counts.go
+++ b/internal/duty/counts.go
@@ -70,6 +70,28 @@
 	return out
 }
 
+// Recent returns the newest windows in which anything was counted.
+func (c *Counter) Recent() map[int64]bool {
+	oldest := c.Current() - keptWindows/2
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[int64]bool)
+	for k := range c.own {
+		out[k] = k >= oldest
+	}
+	for _, ws := range c.heard {
+		for k := range ws {
+			out[k] = k >= oldest
+		}
+	}
+	for k, recent := range out {
+		if !recent {
+			delete(out, k)
+		}
+	}
+	return out
+}
+
 // Peer takes the counts of an incarnation of a peer; counts only grow.
 func (c *Counter) Peer(incarnation string, windows map[int64]map[string]int64) {
 	oldest := c.Current() - keptWindows
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -20,6 +20,8 @@
 
 const window = 5 * time.Second
 
+func no() bool { return false }
+
 var quiet = slog.New(slog.DiscardHandler)
 
 // reports is a platform that takes usage reports.
@@ -86,7 +88,7 @@
 		other.Began("w")
 		other.Began("v")
 		// The other host saves its counts and dies without a word to this one.
-		s := &Saver{Counter: other, Store: store.Client("b"), Incarnation: "b-1", Log: quiet}
+		s := &Saver{Leads: no, Covered: no, Counter: other, Store: store.Client("b"), Incarnation: "b-1", Log: quiet}
 		s.init()
 		s.save(t.Context())
 		time.Sleep(window + 3*time.Second)
@@ -140,7 +142,7 @@
 		defer store.Close()
 		client := store.Client("a")
 		c := NewCounter(window, time.Now)
-		s := &Saver{Counter: c, Store: client, Incarnation: "a-1", Log: quiet}
+		s := &Saver{Leads: no, Covered: no, Counter: c, Store: client, Incarnation: "a-1", Log: quiet}
 		s.init()
 		k := c.Current()
 		c.Began("w")
@@ -153,7 +155,32 @@
 		s.save(t.Context())
 		got, err := client.Get(t.Context(), countsKey(k)+"a-1")
 		is.NoErr(err)
-		is.Equal(string(got.Value), `{"w":3}`)
+		is.Equal(string(got.Value), `{"a-1":{"w":3}}`)
+	})
+}
+
+// The holder saves the counts of all that it hears; a host that such a holder
+// hears writes nothing.
+func TestTheHolderSavesForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		c := NewCounter(window, time.Now)
+		yes := func() bool { return true }
+		k := c.Current()
+		c.Began("w")
+		c.Peer("b-1", map[int64]map[string]int64{k: {"w": 2}})
+		covered := &Saver{Leads: no, Covered: yes, Counter: c, Store: store.Client("a"), Incarnation: "a-1", Log: quiet}
+		covered.init()
+		covered.save(t.Context())
+		is.Equal(len(store.Record()), 0)
+		holder := &Saver{Leads: yes, Covered: no, Counter: c, Store: store.Client("a"), Incarnation: "a-1", Log: quiet}
+		holder.init()
+		holder.save(t.Context())
+		got, err := store.Client("b").Get(t.Context(), countsKey(k)+"a-1")
+		is.NoErr(err)
+		is.Equal(string(got.Value), `{"a-1":{"w":1},"b-1":{"w":2}}`)
 	})
 }
 
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,8 +33,13 @@
 	callTimeout = time.Second
 )
 
-// Saver writes this host's counts to the store.
+// Saver writes counts to the store: those of all hosts that it has heard while
+// it holds the duties, and its own while it hears no holder.
 type Saver struct {
+	// Leads says whether this host holds the duties, Covered whether another
+	// one does that hears this host.
+	Leads, Covered func() bool
+
 	Counter     *Counter
 	Store       backing.Store
 	Incarnation string
@@ -62,8 +66,12 @@
 }
 
 func (s *Saver) save(ctx context.Context) {
-	for k, counts := range s.Counter.Own() {
-		text, err := json.Marshal(counts)
+	leads := s.Leads()
+	if !leads && s.Covered() {
+		return
+	}
+	for k := range s.Counter.Recent() {
+		text, err := json.Marshal(s.counts(k, leads))
 		if err != nil {
 			s.Log.Error("usage counts cannot be encoded", observe.FieldError, err)
 			continue
@@ -87,6 +95,18 @@
 	}
 }
 
+// counts are those of a window, by incarnation.
+func (s *Saver) counts(k int64, leads bool) map[string]Counts {
+	all := s.Counter.Known(s.Incarnation, k)
+	if leads {
+		return all
+	}
+	if own := all[s.Incarnation]; own != nil {
+		return map[string]Counts{s.Incarnation: own}
+	}
+	return nil
+}
+
 func (s *Saver) put(ctx context.Context, k int64, text []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -202,13 +222,14 @@
 		return nil, errors.Wrap(err, "list usage counts")
 	}
 	for _, kv := range items {
-		var counts Counts
-		if err := json.Unmarshal(kv.Value, &counts); err != nil {
+		var saved map[string]Counts
+		if err := json.Unmarshal(kv.Value, &saved); err != nil {
 			r.log.Warn("usage counts cannot be read", "key", kv.Key, observe.FieldError, err)
 			continue
 		}
-		inc := strings.TrimPrefix(kv.Key, countsKey(k))
-		all[inc] = all[inc].max(counts)
+		for inc, counts := range saved {
+			all[inc] = all[inc].max(counts)
+		}
 	}
 	return sum(all), nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 	defer cancel()
 	retry, ok := q.takeQuota()
 	if !ok {
+		q.trace = append(q.trace, slog.Int64("tokens", q.tokens), slog.Duration("retry_ms", retry), slog.Float64("rate", q.workspace.Rate))
 		return verdict.New(verdict.NotRun, http.StatusTooManyRequests, "rate_limited", "the workspace is over its rate").After(retry)
 	}
 	q.g.o.Budget.Request(time.Now(), q.service.Name)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,7 @@
 	q.tracePlan(&plan)
 	q.late = q.route.Target > 0 && !out.begun && time.Since(q.begun)+plan.FirstEvent > q.route.Target
 	if wait := q.patience(); !out.begun && time.Since(q.begun)+plan.FirstEvent > wait {
+		q.trace = append(q.trace, slog.Duration("patience_ms", wait))
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "too_late", "the first event would come after the caller has left").After(retryBusy)
 	}
 	if plan.Prefill == nil {
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// configEvery is the time between reads that prove the configuration to be
-	// current; a change is seen by the watch, or by the next read at the latest.
-	configEvery = 1300 * time.Millisecond
-	// endpointsEvery is the time between whole listings of the endpoints: a
-	// watch may stay silent while entries change.
-	endpointsEvery = 1300 * time.Millisecond
+	// pollShare is the part of the time in which a change must be in force
+	// that passes between two reads of its source. A change is seen by the
+	// watch, or, while that stays silent, by the next read.
+	pollShare = 0.65
+	// minPoll bounds the reads of deployments with short bounds.
+	minPoll = 500 * time.Millisecond
 	// watchWait bounds one watch, watchTimeout the wait for its answer beyond
 	// that, watchRetry the pause after a failed one, watchSpacing that after
 	// each, which bounds the calls when much changes.
@@ -59,7 +59,7 @@
 		if ctx.Err() == nil {
 			seen.note(err)
 		}
-		pause := configEvery
+		pause := h.poll(h.o.Settings.ConfigApply)
 		if err != nil || h.catalog.Current() == nil {
 			pause = watchRetry
 		}
@@ -67,6 +67,11 @@
 	}
 }
 
+// poll is the time between reads of what must be in force within bound.
+func (h *Host) poll(bound time.Duration) time.Duration {
+	return max(minPoll, time.Duration(pollShare*float64(bound)))
+}
+
 func (h *Host) readConfig(ctx context.Context) error {
 	sent := h.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -141,7 +146,7 @@
 			backing.Pause(ctx, watchRetry)
 			continue
 		}
-		backing.Pause(ctx, endpointsEvery)
+		backing.Pause(ctx, h.poll(h.o.Settings.Drain))
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -240,6 +241,24 @@
 	return out
 }
 
+// leads says whether this host holds the duties.
+func (h *Host) leads() bool {
+	_, _, ok := h.leases.Held(duty.Piece)
+	return ok
+}
+
+// covered says whether a holder of the duties takes this host's counts.
+func (h *Host) covered() bool {
+	h.mu.Lock()
+	leader, fresh := h.leader, time.Since(h.leaderAt) < leaderLife
+	h.mu.Unlock()
+	if leader == "" || !fresh || h.draining.Load() {
+		return false
+	}
+	_, heard := h.group.Audible()
+	return slices.Contains(heard, leader)
+}
+
 // Ready says whether callers should be sent to this host.
 func (h *Host) Ready() bool {
 	return !h.draining.Load() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.Listed()
@@ -289,7 +308,7 @@
 // another host takes them over while this one drains.
 func (h *Host) start(ctx, stop context.Context) (wait func()) {
 	var all sync.WaitGroup
-	saver := &duty.Saver{Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
+	saver := &duty.Saver{Leads: h.leads, Covered: h.covered, Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
 	for _, run := range []loop{h.pollConfig, h.watchConfig, h.pollEndpoints, h.watchEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
 		all.Go(func() { run(ctx) })
 	}
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -22,6 +22,9 @@
 	Callers, Ready, Peers string
 	// FirstStart is true when the whole deployment starts for the first time.
 	FirstStart bool
+	// ConfigApply is how soon a change of the configuration is in force, Drain
+	// how soon a leaving endpoint gets no more requests.
+	ConfigApply, Drain time.Duration
 	// Revoke is how soon a removed key is refused, on every host.
 	Revoke time.Duration
 	// Returned is how long endpoints may need to be listed again after an
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -33,6 +33,8 @@
 	// Audible returns the number of hosts, this one included, and the names of
 	// the other ones that this host hears.
 	Audible() (hosts int, heard []string)
+	// Urge tells the other hosts soon what this one took.
+	Urge()
 }
 
 // Limiter is safe for concurrent use.
@@ -84,7 +86,11 @@
 	if b.level < need {
 		return time.Duration((need - b.level) / (rate * (1 - silent)) * float64(time.Second)), false
 	}
-	if untold := l.untold(w.Name, b.spent, heard); untold > 0 && float64(untold+tokens) > l.size(w)/float64(hosts) {
+	untold, part := l.untold(w.Name, b.spent, heard), l.size(w)/float64(hosts)
+	if float64(untold+tokens) > part*urgeShare {
+		l.peers.Urge()
+	}
+	if untold > 0 && float64(untold+tokens) > part {
 		return untoldRetry, false
 	}
 	b.level -= float64(tokens)
@@ -102,6 +108,10 @@
 	}
 }
 
+// urgeShare is the part of what may be taken unheard at which peers are told
+// without waiting for the next exchange.
+const urgeShare = 0.3
+
 // untoldRetry is when to ask again after a refusal because peers have not yet
 // heard of what was taken: they do within two exchanges.
 const untoldRetry = 150 * time.Millisecond
--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -27,6 +27,8 @@
 
 func (g *group) Audible() (int, []string) { return g.hosts, g.heard }
 
+func (*group) Urge() {}
+
 var alone = &group{hosts: 1}
 
 func TestARateRefillsTheBucket(t *testing.T) {
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
@@ -14,10 +15,22 @@
 	// exchangeEvery is the time between snapshots to each peer: work at
 	// engines changes within tens of milliseconds.
 	exchangeEvery = 80 * time.Millisecond
-	// audibleFor is how long after its last snapshot a peer counts as heard.
-	audibleFor = 600 * time.Millisecond
+	// exchangePerPeer is the least of that time for each peer, so that a host
+	// sends the same however many there are: each has a smaller part of the work.
+	exchangePerPeer = 20 * time.Millisecond
+	// urgeEvery bounds exchanges that are asked for in between.
+	urgeEvery = 25 * time.Millisecond
+	// audibleFor is how long after its last snapshot a peer counts as heard,
+	// and audibleRounds the same in exchanges.
+	audibleFor    = 600 * time.Millisecond
+	audibleRounds = 4
 )
 
+// pace is the time between exchanges with each of so many peers.
+func pace(peers int) time.Duration {
+	return max(exchangeEvery, time.Duration(peers)*exchangePerPeer)
+}
+
 // Options configure a Group.
 type Options struct {
 	Directory *Directory
@@ -40,12 +53,14 @@
 	heard map[string]time.Time
 	// latest is the snapshot that peers are answered with.
 	latest *Snapshot
+	made   time.Time
 }
 
 // runner is the loop that exchanges with one peer.
 type runner struct {
 	entry Entry
 	stop  context.CancelFunc
+	urge  chan struct{}
 }
 
 // NewGroup returns a group that has heard nobody.
@@ -82,10 +97,7 @@
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
 	for {
-		made := g.o.Make()
-		g.mu.Lock()
-		g.latest = made
-		g.mu.Unlock()
+		g.renew()
 		g.reconcile(ctx)
 		select {
 		case <-ctx.Done():
@@ -116,18 +128,19 @@
 			continue
 		}
 		linkCtx, stop := context.WithCancel(ctx)
-		g.links[name] = &runner{entry: e, stop: stop}
+		urge := make(chan struct{}, 1)
+		g.links[name] = &runner{entry: e, stop: stop, urge: urge}
 		g.o.Log.Info("peer found", observe.FieldPeer, name, "address", e.Address)
-		go g.talk(linkCtx, e)
+		go g.talk(linkCtx, e, urge)
 	}
 }
 
 // talk exchanges snapshots with one peer until ctx ends.
-func (g *Group) talk(ctx context.Context, e Entry) {
+func (g *Group) talk(ctx context.Context, e Entry, urge <-chan struct{}) {
 	l := &link{address: e.Address}
 	defer l.close()
-	ticker := time.NewTicker(exchangeEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(exchangeEvery)
+	defer timer.Stop()
 	lost := false
 	for {
 		out := g.snapshot()
@@ -146,14 +159,52 @@
 			g.o.Told(e.Host, out)
 			g.take(in)
 		}
+		if !backing.Pause(ctx, urgeEvery) {
+			return
+		}
+		timer.Reset(pace(g.peers()) - urgeEvery)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-urge:
+			g.renew()
+		case <-timer.C:
 		}
 	}
 }
 
+// Urge asks for an exchange with every peer at once.
+func (g *Group) Urge() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.links {
+		select {
+		case r.urge <- struct{}{}:
+		default: // asked for already
+		}
+	}
+}
+
+func (g *Group) peers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.links)
+}
+
+// renew makes the snapshot anew if it is not fresh.
+func (g *Group) renew() {
+	g.mu.Lock()
+	fresh := time.Since(g.made) < urgeEvery
+	g.mu.Unlock()
+	if fresh {
+		return
+	}
+	made := g.o.Make()
+	g.mu.Lock()
+	g.latest, g.made = made, time.Now()
+	g.mu.Unlock()
+}
+
 // Audible is the number of hosts, this one included, and the names of the
 // others that this host hears.
 func (g *Group) Audible() (hosts int, heard []string) {
@@ -163,7 +214,7 @@
 	defer g.mu.Unlock()
 	heard = make([]string, 0, len(others))
 	for name := range others {
-		if now.Sub(g.heard[name]) < audibleFor {
+		if now.Sub(g.heard[name]) < max(audibleFor, audibleRounds*pace(len(others))) {
 			heard = append(heard, name)
 		}
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -44,7 +44,7 @@
 }
 
 // peerLife is how long a silent peer's report counts.
-const peerLife = 1500 * time.Millisecond
+const peerLife = 2500 * time.Millisecond
 
 // Placed tells peers which shared parts an engine has read.
 type Placed struct {
