--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -106,6 +108,22 @@
 	return services[0].Service
 }
 
+// quotaWait is how long a request waits for tokens of its workspace's rate: a
+// short wait serves a caller better than a refusal and another try.
+const quotaWait = 120 * time.Millisecond
+
+// waitQuota reserves the request's tokens, waiting for them if they will be
+// there soon; else it says when to ask again.
+func (q *request) waitQuota(ctx context.Context) (time.Duration, bool) {
+	until := time.Now().Add(min(quotaWait, q.left()/4))
+	for {
+		retry, ok := q.takeQuota()
+		if ok || time.Now().Add(retry).After(until) || !backing.Pause(ctx, retry) {
+			return retry, ok
+		}
+	}
+}
+
 // takeQuota reserves the request's tokens.
 func (q *request) takeQuota() (time.Duration, bool) {
 	if q.workspace == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.until.Add(lateMargin))
 	defer cancel()
-	retry, ok := q.takeQuota()
+	retry, ok := q.waitQuota(ctx)
 	if !ok {
 		q.trace = append(q.trace, slog.Int64("tokens", q.tokens), slog.Duration("retry_ms", retry), slog.Float64("rate", q.workspace.Rate))
 		return verdict.New(verdict.NotRun, http.StatusTooManyRequests, "rate_limited", "the workspace is over its rate").After(retry)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,9 +43,17 @@
 	prefill func(d *Dispatch) (Prefilled, error)
 }
 
-type fakeQuota struct{ taken, given int64 }
+type fakeQuota struct {
+	taken, given int64
+	// short is how many times the next takings are refused for a moment.
+	short int
+}
 
 func (q *fakeQuota) Take(_ time.Time, _ *catalog.Workspace, n int64) (time.Duration, bool) {
+	if q.short > 0 {
+		q.short--
+		return time.Millisecond, false
+	}
 	q.taken += n
 	return 1500 * time.Millisecond, q.taken <= 1_000_000
 }
@@ -406,6 +414,15 @@
 	is.Equal(s.usage.began, 1)
 }
 
+// A caller waits a moment for tokens rather than being sent away.
+func TestARequestWaitsAMomentForItsRate(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t).configure()
+	s.quota.short = 3
+	s.send = func(int, context.Context, *Dispatch) (*Reply, error) { return reply(http.StatusOK, events), nil }
+	is.Equal(s.ask("/stream/x", "Prompt", "50").Code, http.StatusOK)
+}
+
 func TestTokensOfARequestThatDidNotRunAreGivenBack(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t).configure()
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -113,8 +113,8 @@
 const urgeShare = 0.3
 
 // untoldRetry is when to ask again after a refusal because peers have not yet
-// heard of what was taken: they do within two exchanges.
-const untoldRetry = 150 * time.Millisecond
+// heard of what was taken: they were urged to.
+const untoldRetry = 20 * time.Millisecond
 
 // untold is what some peer that is heard does not yet know to be taken. The
 // caller holds mu.
