duty: stages are set before traffic; a caller that leaves is logged as gone

Change: nobody can have had the duties within 3 s of the first start; idle engines are balanced after 1 s.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -225,9 +225,9 @@
 	set := endpoint.NewSet(time.Second)
 	set.Replace(time.Now(), []*endpoint.Endpoint{engineAt("x", "a", endpoint.StageDecode), engineAt("y", "a", endpoint.StageDecode)})
 	return NewHolder(Options{
-		Host: "a", Incarnation: "a-1", Leases: l, Clock: steady{}, Quiet: 3 * time.Second, Settle: 2 * time.Second,
+		Host: "a", Incarnation: "a-1", Leases: l, Clock: steady{}, Quiet: func() time.Duration { return 3 * time.Second }, Settle: 2 * time.Second,
 		Counter: NewCounter(window, time.Now), Store: store, Reporter: r, Engines: e, Catalog: c, Endpoints: set,
-		Balance: DefaultBalance(), Switching: func(*endpoint.Endpoint, time.Duration) {}, Log: quiet,
+		Balance: DefaultBalance(), Switching: func(*endpoint.Endpoint, time.Duration) {}, Idle: func([]*endpoint.Endpoint) bool { return false }, Log: quiet,
 	})
 }
 
@@ -279,6 +279,23 @@
 	})
 }
 
+// Before there is work a change costs nothing, and is made soon.
+func TestIdleEnginesAreBalancedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		e := &engines{}
+		h := holderOf(&held{fence: 5, ok: true}, e, &reports{taken: make(map[int64]Counts)}, store.Client("a"))
+		h.o.Quiet, h.o.Idle = func() time.Duration { return 0 }, func([]*endpoint.Endpoint) bool { return true }
+		for range 3 {
+			h.step(t.Context())
+			time.Sleep(stepEvery)
+		}
+		is.Equal(len(e.orders), 1)
+	})
+}
+
 // An engine that crashes is back sooner than a change of stage would be done.
 func TestAShortImbalanceIsBorne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -287,7 +304,7 @@
 		defer store.Close()
 		l, e, r := &held{fence: 5, ok: true}, &engines{}, &reports{taken: make(map[int64]Counts)}
 		h := holderOf(l, e, r, store.Client("a"))
-		h.o.Quiet = 0
+		h.o.Quiet = func() time.Duration { return 0 }
 		for range 8 {
 			h.step(t.Context())
 			time.Sleep(stepEvery)
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -36,7 +36,7 @@
 	Clock             lease.Clock
 	// Quiet is how long a new holder waits before it acts: holders must not
 	// take turns faster.
-	Quiet time.Duration
+	Quiet func() time.Duration
 	// Settle is how long after a window's end its counts are collected.
 	Settle    time.Duration
 	Counter   *Counter
@@ -46,6 +46,8 @@
 	Catalog   *catalog.Holder
 	Endpoints *endpoint.Set
 	Balance   Balance
+	// Idle says that no host has work at any of the engines.
+	Idle func(engines []*endpoint.Endpoint) bool
 	// Switching is told of each engine that is ordered to change its stage, and
 	// how long that takes.
 	Switching func(e *endpoint.Endpoint, takes time.Duration)
@@ -57,9 +59,10 @@
 	o         Options
 	reporting reporting
 	// fence is the number that this host holds the lease under, since when it
-	// took it, and refused is a number under which a later one was seen.
+	// took it, wait how long it does nothing after that, and refused is a number under which a later one was seen.
 	fence   int64
 	since   lease.Instant
+	wait    time.Duration
 	refused int64
 	// ordered is when each engine was last ordered to change.
 	ordered map[endpoint.Key]lease.Instant
@@ -101,10 +104,10 @@
 		return
 	}
 	if fence != h.fence {
-		h.fence, h.since = fence, now
+		h.fence, h.since, h.wait = fence, now, h.o.Quiet()
 		h.o.Log.Info("duties taken", observe.FieldFence, fence)
 	}
-	if fence == h.refused || now.Since(h.since) < h.o.Quiet {
+	if fence == h.refused || now.Since(h.since) < h.wait {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -135,8 +138,9 @@
 		if s.Engine == nil {
 			continue
 		}
-		orders := h.o.Balance.Orders(h.o.Endpoints.Service(s.Name))
-		if !h.due(s.Name, len(orders) > 0) {
+		engines := h.o.Endpoints.Service(s.Name)
+		orders := h.o.Balance.Orders(engines)
+		if !h.due(s.Name, len(orders) > 0, h.o.Idle(engines)) {
 			continue
 		}
 		for _, order := range orders {
@@ -161,13 +165,18 @@
 	return nil
 }
 
-// balancePatience is how long engines are out of balance before one is ordered
-// to change: one that crashed is back sooner than a change would be done.
-const balancePatience = 4 * time.Second
+const (
+	// balancePatience is how long engines are out of balance before one is
+	// ordered to change: one that crashed is back sooner than a change would
+	// be done.
+	balancePatience = 4 * time.Second
+	// idlePatience is the same while no engine has work: a change then costs
+	// nothing, but all engines should be listed by then.
+	idlePatience = time.Second
+)
 
-// due says whether a service has been out of balance for long enough. At the
-// first look nothing runs yet, and a change costs nothing.
-func (h *Holder) due(service string, uneven bool) bool {
+// due says whether a service has been out of balance for long enough.
+func (h *Holder) due(service string, uneven, idle bool) bool {
 	now := h.o.Clock.Now()
 	if !uneven {
 		delete(h.uneven, service)
@@ -178,5 +187,9 @@
 		h.uneven[service] = now
 		return false
 	}
-	return now.Since(since) >= balancePatience
+	patience := balancePatience
+	if idle {
+		patience = idlePatience
+	}
+	return now.Since(since) >= patience
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,8 +106,8 @@
 	if !q.counted && verdict.Of(err) == verdict.NotRun && err != nil {
 		q.giveQuota()
 	}
-	if r.Context().Err() != nil && !q.answered {
-		return errCallerGone
+	if err != nil && r.Context().Err() != nil {
+		return errors.Wrap(errCallerGone, err.Error())
 	}
 	return err
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -157,6 +157,18 @@
 	}
 }
 
+// Idle says that no host has work at the engines.
+func (t *Tracker) Idle(now time.Time, engines []*endpoint.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range engines {
+		if t.load(now, e.ID) != (Load{}) {
+			return false
+		}
+	}
+	return true
+}
+
 // DropPeer forgets the work of a host that is gone.
 func (t *Tracker) DropPeer(host string) {
 	t.mu.Lock()
