duty: a new holder acts at once unless it comes back

Change: the store keeps the latest holders; a host waits only if it had the duties before the last one, which is when turns could be too fast.

--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -34,9 +34,9 @@
 	Host, Incarnation string
 	Leases            Leases
 	Clock             lease.Clock
-	// Quiet is how long a new holder waits before it acts: holders must not
-	// take turns faster.
-	Quiet func() time.Duration
+	// Quiet is how long a host waits that has the duties again after another
+	// one: holders must not take turns faster.
+	Quiet time.Duration
 	// Settle is how long after a window's end its counts are collected.
 	Settle    time.Duration
 	Counter   *Counter
@@ -104,8 +104,8 @@
 		return
 	}
 	if fence != h.fence {
-		h.fence, h.since, h.wait = fence, now, h.o.Quiet()
-		h.o.Log.Info("duties taken", observe.FieldFence, fence)
+		h.fence, h.since, h.wait = fence, now, h.turn(ctx)
+		h.o.Log.Info("duties taken", observe.FieldFence, fence, "wait_ms", h.wait)
 	}
 	if fence == h.refused || now.Since(h.since) < h.wait {
 		return
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -121,22 +121,10 @@
 	})
 }
 
-// firstTake is how long after the first start of the whole deployment nobody
-// can have had the duties before.
-const firstTake = 3 * time.Second
-
-// quiet is how long this host waits with the duties after it took them.
-func (h *Host) quiet() time.Duration {
-	if h.o.Settings.FirstStart && time.Since(h.begun) < firstTake {
-		return 0
-	}
-	return h.o.Settings.Lease + quietMargin
-}
-
 func (h *Host) newHolder() *duty.Holder {
 	return duty.NewHolder(duty.Options{
 		Host: h.o.Settings.Name, Incarnation: h.inc, Leases: h.leases, Clock: h.clock,
-		Quiet: h.quiet, Settle: usageSettle,
+		Quiet: h.o.Settings.Lease + quietMargin, Settle: usageSettle,
 		Counter: h.counter, Store: h.o.Ports.Store, Reporter: h.o.Ports.Reporter, Engines: h.o.Ports.Engines,
 		Catalog: h.catalog, Endpoints: h.endpoints, Balance: duty.DefaultBalance(), Switching: h.switching, Idle: h.idle, Log: h.o.Log,
 	})
