--- a/internal/backing/transport_http.go
+++ b/internal/backing/transport_http.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/acacialink/acacialink/internal/sockopt"
 )
 
 const (
@@ -24,7 +26,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
-		Control: setUserTimeout,
+		Control: sockopt.UserTimeout(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -57,7 +57,7 @@
 }
 
 // end answers an error that has no answer yet, and logs the request.
-func (q *request) end(r *http.Request, err error) {
+func (q *request) end(err error) {
 	q.log(err)
 	if err == nil || errors.Is(err, errCallerGone) {
 		if err != nil {
@@ -81,7 +81,6 @@
 	if err := json.NewEncoder(q.w).Encode(errorBody{Code: e.Code, Message: e.Message, Verdict: e.Verdict.String()}); err != nil {
 		q.g.o.Log.Debug("refusal was not delivered", observe.FieldError, err)
 	}
-	_ = r
 }
 
 // log writes the request's line.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := q.serve(r)
-	q.end(r, err)
+	q.end(err)
 }
 
 // errLongEvent means that an event is longer than any that is relayed.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,7 +20,6 @@
 	"github.com/acacialink/acacialink/internal/limit"
 	"github.com/acacialink/acacialink/internal/peer"
 	"github.com/acacialink/acacialink/internal/placement"
-	"github.com/acacialink/acacialink/internal/record"
 	"github.com/acacialink/acacialink/internal/truetime"
 )
 
@@ -96,6 +92,10 @@
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
 	h.endpoints = endpoint.NewSet(s.Returned)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
+	o.Registry.NewGauge("placement_tokens_per_ms", func() any {
+		prefill, decode := h.tracker.Rates()
+		return map[string]float64{"prefill": prefill, "decode": decode}
+	})
 	h.truetime = truetime.New(h.clock, time.Now)
 	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
@@ -112,24 +112,6 @@
 	return h
 }
 
-func (h *Host) newLeases() *lease.Set {
-	return lease.New(lease.Options{
-		Host: h.o.Settings.Name, Incarnation: h.inc, Store: h.o.Ports.Store,
-		Settings:  lease.Settings{TTL: dutyTTL, Renew: dutyRenew, Margin: dutyMargin, OrderDeadline: dutyDeadline, CallTimeout: readTimeout},
-		Pieces:    func() []string { return []string{duty.Piece} },
-		Preferred: h.preferred, Marks: record.NewMarks(h.o.Settings.Name, h.inc), Log: h.o.Log,
-	})
-}
-
-func (h *Host) newHolder() *duty.Holder {
-	return duty.NewHolder(duty.Options{
-		Host: h.o.Settings.Name, Incarnation: h.inc, Leases: h.leases, Clock: h.clock,
-		Quiet: h.o.Settings.Lease + quietMargin, Settle: usageSettle,
-		Counter: h.counter, Store: h.o.Ports.Store, Reporter: h.o.Ports.Reporter, Engines: h.o.Ports.Engines,
-		Catalog: h.catalog, Endpoints: h.endpoints, Balance: duty.DefaultBalance(), Switching: h.switching, Idle: h.idle, Log: h.o.Log,
-	})
-}
-
 const (
 	// budgetShare is the part of the budget of repeated sends that is used:
 	// counts of sliding windows differ at their edges.
@@ -157,111 +139,6 @@
 	h.limiter.Gone(host)
 }
 
-// preferred is the host that should have the duties: the one that has them.
-func (h *Host) preferred(string) (string, bool) {
-	if _, _, ok := h.leases.Held(duty.Piece); ok {
-		return h.o.Settings.Name, true
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leader != "" && time.Since(h.leaderAt) < leaderLife {
-		return h.leader, true
-	}
-	return h.o.Settings.Name, !h.draining.Load()
-}
-
-// snapshot is what this host tells its peers.
-func (h *Host) snapshot() *peer.Snapshot {
-	loads, placed := h.tracker.Loads(time.Now())
-	_, _, leads := h.leases.Held(duty.Piece)
-	return &peer.Snapshot{
-		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: time.Since(h.begun).Milliseconds(), Wall: time.Now().UnixMilli(),
-		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.usage(),
-		Switching: h.switches(), Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
-	}
-}
-
-// hear takes a peer's snapshot.
-func (h *Host) hear(s *peer.Snapshot) {
-	now := time.Now()
-	h.tracker.Peer(now, s.Host, s.Loads, s.Placed)
-	h.limiter.Peer(s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
-	h.tracker.Switching(now, s.Switching)
-	h.counter.Peer(s.Incarnation, s.Usage)
-	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch {
-	case s.Leads:
-		h.leader, h.leaderAt = s.Host, now
-	case h.leader == s.Host:
-		h.leader = ""
-	}
-}
-
-// usageEvery is the time between the snapshots that hold usage counts.
-const usageEvery = 800 * time.Millisecond
-
-// usage is the counts for peers, or nil in the snapshots between.
-func (h *Host) usage() map[int64]map[string]int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now := time.Now(); now.Sub(h.usageAt) >= usageEvery {
-		h.usageAt = now
-		return h.counter.Own()
-	}
-	return nil
-}
-
-// switching notes an engine that this host ordered to change its stage.
-func (h *Host) switching(e *endpoint.Endpoint, takes time.Duration) {
-	now := time.Now()
-	h.tracker.Switching(now, map[string]time.Duration{e.ID: takes})
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.ordered[e.ID] = now.Add(takes)
-}
-
-// idle says that no host has work at the engines.
-func (h *Host) idle(engines []*endpoint.Endpoint) bool { return h.tracker.Idle(time.Now(), engines) }
-
-// switches are the engines that change their stage by this host's orders.
-func (h *Host) switches() map[string]time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out map[string]time.Duration
-	for id, until := range h.ordered {
-		left := time.Until(until)
-		if left <= 0 {
-			delete(h.ordered, id)
-			continue
-		}
-		if out == nil {
-			out = make(map[string]time.Duration)
-		}
-		out[id] = left
-	}
-	return out
-}
-
-// leads says whether this host holds the duties.
-func (h *Host) leads() bool {
-	_, _, ok := h.leases.Held(duty.Piece)
-	return ok
-}
-
-// covered says whether a holder of the duties takes this host's counts.
-func (h *Host) covered() bool {
-	h.mu.Lock()
-	leader, fresh := h.leader, time.Since(h.leaderAt) < leaderLife
-	h.mu.Unlock()
-	if leader == "" || !fresh || h.draining.Load() {
-		return false
-	}
-	_, heard := h.group.Audible()
-	return slices.Contains(heard, leader)
-}
-
 // Ready says whether callers should be sent to this host.
 func (h *Host) Ready() bool {
 	return !h.draining.Load() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.Listed()
@@ -328,73 +205,3 @@
 	})
 	return all.Wait
 }
-
-// sweepEvery is the time between closings of idle connections to endpoints.
-const sweepEvery = time.Second
-
-func (h *Host) sweep(ctx context.Context) {
-	for backing.Pause(ctx, sweepEvery) {
-		h.o.Ports.Connections.Sweep(time.Now())
-	}
-}
-
-func (h *Host) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(h.o.Log.Handler(), slog.LevelDebug),
-	}
-}
-
-// operators answers readiness and, under /metrics, the counters.
-func (h *Host) operators() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", h.o.Registry.ServeVars)
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if !h.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
-const (
-	// drainMin is how long a draining host takes new connections: the balancer
-	// needs two readiness checks, a second apart, to leave it out.
-	drainMin = 3500 * time.Millisecond
-	// drainReserve is the part of the grace that is left for the end itself.
-	drainReserve = 800 * time.Millisecond
-	// drainQuiet is how long no request must have been served before the end.
-	drainQuiet = 300 * time.Millisecond
-	drainLook  = 20 * time.Millisecond
-)
-
-// ending is the time left to a process that drains.
-func (h *Host) ending() (time.Duration, bool) {
-	ends := h.ends.Load()
-	if ends == nil {
-		return 0, false
-	}
-	return time.Until(*ends), true
-}
-
-// drain lets callers go: not ready at once, every answer asks to close the
-// connection, and what runs may end within the grace.
-func (h *Host) drain() {
-	begun := time.Now()
-	ends := begun.Add(h.o.Settings.Grace)
-	h.ends.Store(&ends)
-	h.draining.Store(true)
-	h.o.Log.Info("draining", "requests", h.gateway.Active())
-	quiet := begun
-	for {
-		now := time.Now()
-		if h.gateway.Active() > 0 {
-			quiet = now
-		}
-		if now.Sub(begun) >= h.o.Settings.Grace-drainReserve || now.Sub(begun) >= drainMin && now.Sub(quiet) >= drainQuiet {
-			break
-		}
-		time.Sleep(drainLook)
-	}
-	h.o.Log.Info("drained", "requests", h.gateway.Active(), "duration_ms", time.Since(begun))
-}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/sockopt"
 )
 
 const (
@@ -54,7 +56,7 @@
 	p := &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
-		Control: setUserTimeout,
+		Control: sockopt.UserTimeout(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
