--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -321,6 +321,29 @@
 	})
 }
 
+// While engines still come, nothing is known of the balance.
+func TestEnginesAreBalancedOnceAllAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		e := &engines{}
+		h := holderOf(&held{fence: 5, ok: true}, e, &reports{taken: make(map[int64]Counts)}, store.Client("a"))
+		h.o.Quiet, h.o.Idle = 0, func([]*endpoint.Endpoint) bool { return true }
+		for i := range 8 {
+			h.o.Endpoints.Update(time.Now(), []*endpoint.Endpoint{engineAt("new"+strconv.Itoa(i), "a", endpoint.StageDecode)}, nil)
+			h.step(t.Context())
+			time.Sleep(stepEvery)
+		}
+		is.Equal(len(e.orders), 0)
+		for range 3 {
+			h.step(t.Context())
+			time.Sleep(stepEvery)
+		}
+		is.Equal(len(e.orders), 7) // seven of ten prefill
+	})
+}
+
 // An engine that crashes is back sooner than a change of stage would be done.
 func TestAShortImbalanceIsBorne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -68,12 +68,14 @@
 	ordered map[endpoint.Key]lease.Instant
 	// uneven is since when each service is out of balance.
 	uneven map[string]lease.Instant
+	// counts is the number of engines of each service at the last look.
+	counts map[string]int
 }
 
 // NewHolder returns a holder that holds nothing yet.
 func NewHolder(o Options) *Holder {
 	return &Holder{
-		o: o, ordered: make(map[endpoint.Key]lease.Instant), uneven: make(map[string]lease.Instant),
+		o: o, ordered: make(map[endpoint.Key]lease.Instant), uneven: make(map[string]lease.Instant), counts: make(map[string]int),
 		reporting: reporting{
 			counter: o.Counter, store: o.Store, reporter: o.Reporter, host: o.Host, incarnation: o.Incarnation,
 			settle: o.Settle, log: o.Log, done: make(map[int64]bool), first: o.Counter.Current() - 1,
@@ -140,7 +142,7 @@
 		}
 		engines := h.o.Endpoints.Service(s.Name)
 		orders := h.o.Balance.Orders(engines)
-		if !h.due(s.Name, len(orders) > 0, h.o.Idle(engines)) {
+		if !h.due(s.Name, len(engines), len(orders) > 0, h.o.Idle(engines)) {
 			continue
 		}
 		for _, order := range orders {
@@ -175,9 +177,14 @@
 	idlePatience = time.Second
 )
 
-// due says whether a service has been out of balance for long enough.
-func (h *Holder) due(service string, uneven, idle bool) bool {
+// due says whether a service has been out of balance for long enough, with the
+// same number of engines.
+func (h *Holder) due(service string, engines int, uneven, idle bool) bool {
 	now := h.o.Clock.Now()
+	if h.counts[service] != engines {
+		h.counts[service] = engines
+		delete(h.uneven, service) // others may be about to come or go
+	}
 	if !uneven {
 		delete(h.uneven, service)
 		return false
