host: entries that cannot be read are noted under a lock; events in order

An entry written and removed within one watch stayed in use until the next listing. Change: the map is under the host's lock; events are taken one by one.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -193,23 +193,20 @@
 	}
 }
 
+// takeEndpoints takes changes one by one: an entry may be written and removed
+// within the events of one watch.
 func (h *Host) takeEndpoints(events []backing.Event) {
-	var present []*endpoint.Endpoint
-	var removed []string
 	for _, ev := range events {
 		if ev.Deleted {
 			if id, ok := h.o.Ports.Endpoints.ID(ev.Key); ok {
-				removed = append(removed, id)
+				h.changed(h.endpoints.Update(time.Now(), nil, []string{id}))
 			}
 			continue
 		}
 		if e, ok := h.decodeEndpoint(ev.KeyValue); ok {
-			present = append(present, e)
+			h.changed(h.endpoints.Update(time.Now(), []*endpoint.Endpoint{e}, nil))
 		}
 	}
-	if len(present)+len(removed) > 0 {
-		h.changed(h.endpoints.Update(time.Now(), present, removed))
-	}
 }
 
 func (h *Host) decodeEndpoint(kv backing.KeyValue) (*endpoint.Endpoint, bool) {
@@ -217,16 +214,26 @@
 	if err == nil {
 		return e, true
 	}
-	if h.foreign[kv.Key] != kv.Revision {
-		if len(h.foreign) >= maxForeign {
-			clear(h.foreign)
-		}
-		h.foreign[kv.Key] = kv.Revision
+	if h.newlyForeign(kv) {
 		h.o.Log.Warn("endpoint entry skipped", "key", kv.Key, observe.FieldRevision, int64(kv.Revision), observe.FieldError, err)
 	}
 	return nil, false
 }
 
+// newlyForeign says whether an entry that cannot be read was not seen before.
+func (h *Host) newlyForeign(kv backing.KeyValue) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.foreign[kv.Key] == kv.Revision {
+		return false
+	}
+	if len(h.foreign) >= maxForeign {
+		clear(h.foreign)
+	}
+	h.foreign[kv.Key] = kv.Revision
+	return true
+}
+
 // maxForeign bounds the unusable entries that are remembered, so that each is
 // logged once.
 const maxForeign = 256
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,18 +71,17 @@
 	ends atomic.Pointer[time.Time]
 	// listed is the store's revision of the last listing of endpoints.
 	listed atomic.Int64
-	// foreign is the last revision of each entry that could not be read; one
-	// loop at a time uses it.
-	foreign map[string]backing.Revision
 
 	mu sync.Mutex
-	// leader is the host that last said to have the duties.
-	leader string
+	// foreign is the last revision of each entry that could not be read.
+	foreign map[string]backing.Revision
+	// leader is the host that last said to have the duties, and when.
+	leader   string
+	leaderAt time.Time
 	// usageAt is when peers were last told of usage counts.
 	usageAt time.Time
 	// ordered is until when engines that this host ordered change their stage.
-	ordered  map[string]time.Time
-	leaderAt time.Time
+	ordered map[string]time.Time
 }
 
 // New returns a host that does nothing yet.
