--- a/cmd/acacialink/main.go
+++ b/cmd/acacialink/main.go
@@ -15,11 +15,23 @@
 	os.Exit(int(run(os.Args[1:])))
 }
 
+// helped is what a request for help ends the parsing with.
+type helped struct{}
+
 // run parses the command line, runs the command and returns the exit code.
-func run(args []string) exit.Code {
+func run(args []string) (code exit.Code) {
+	defer func() {
+		switch p := recover().(type) {
+		case nil:
+		case helped:
+			code = exit.OK
+		default:
+			panic(p)
+		}
+	}()
 	app := kingpin.New("acacialink", "Serves language models and order services to callers from a limited fleet.")
 	app.HelpFlag.Short('h')
-	app.Terminate(nil)
+	app.Terminate(func(int) { panic(helped{}) })
 	addEntry(app)
 	addGateway(app)
 	addAgent(app)
--- a/cmd/acacialink/main_test.go
+++ b/cmd/acacialink/main_test.go
@@ -17,3 +17,11 @@
 	is.Equal(run([]string{"get", "key"}), exit.Usage)
 	is.Equal(run([]string{"no-such-command"}), exit.Usage)
 }
+
+// Help that was asked for is no failure, with or without what the command needs.
+func TestHelpIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	is.Equal(run([]string{"--help"}), exit.OK)
+	is.Equal(run([]string{"get", "--help"}), exit.OK)
+	is.Equal(run([]string{"gateway", "--help"}), exit.OK)
+}
