peer: tests wait until a host has seen its peer's entry

The dump shows the other host ended and this one waiting for two hosts: it had heard the peer by the peer's own call, before it had seen its entry, and its store was then silenced by the test. TestHostsFindAndHearEachOther could hang likewise. Change: both wait until this host has told the peer something, which it does only to entries. What is checked is the same.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -82,7 +82,8 @@
 	store := kv.New(kv.Options{})
 	defer store.Close()
 	a, b, c := join(t, store, "a"), join(t, store, "b"), join(t, store, "c")
-	until(t, a.is(func() bool { return a.heard["b"] == 7 && a.heard["c"] == 7 && a.told["b"] }))
+	// A peer may be heard before its entry is seen; what is told goes to entries.
+	until(t, a.is(func() bool { return a.heard["b"] == 7 && a.heard["c"] == 7 && a.told["b"] && a.told["c"] }))
 	until(t, c.is(func() bool { return c.heard["a"] == 7 && c.heard["b"] == 7 }))
 	until(t, func() bool { hosts, heard := b.group.Audible(); return hosts == 3 && len(heard) == 2 })
 	// One that leaves takes its entry away, and the others forget it.
@@ -97,7 +98,7 @@
 	store := kv.New(kv.Options{})
 	defer store.Close()
 	a, b := join(t, store, "a"), join(t, store, "b")
-	until(t, a.is(func() bool { return a.heard["b"] == 7 }))
+	until(t, a.is(func() bool { return a.heard["b"] == 7 && a.told["b"] }))
 	// The store is silent to both, so the entry stays; b stops.
 	store.Client("a").SetDown(true)
 	store.Client("b").SetDown(true)
