endpoint: entries count in the order of the store, and a drained one stays out

Change: each entry and removal bears the store's revision, and older ones change nothing; a start that has drained never comes back. Put and Remove take single entries in place of one call with two lists.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -223,7 +223,7 @@
 	c := catalog.NewHolder(steady{}, time.Minute)
 	c.Offer(1, catalog.New(1, catalog.Limits{}, nil, []*catalog.Service{{Name: "llm", Engine: &catalog.Engine{StageSwitch: 3 * time.Second}}}, nil, nil))
 	set := endpoint.NewSet(time.Second)
-	set.Replace(time.Now(), []*endpoint.Endpoint{engineAt("x", "a", endpoint.StageDecode), engineAt("y", "a", endpoint.StageDecode)})
+	set.Replace(time.Now(), 0, []*endpoint.Endpoint{engineAt("x", "a", endpoint.StageDecode), engineAt("y", "a", endpoint.StageDecode)})
 	return NewHolder(Options{
 		Host: "a", Incarnation: "a-1", Leases: l, Clock: steady{}, Quiet: 3 * time.Second, Settle: 2 * time.Second,
 		Counter: NewCounter(window, time.Now), Store: store, Reporter: r, Engines: e, Catalog: c, Endpoints: set,
@@ -331,7 +331,7 @@
 		h := holderOf(&held{fence: 5, ok: true}, e, &reports{taken: make(map[int64]Counts)}, store.Client("a"))
 		h.o.Quiet, h.o.Idle = 0, func([]*endpoint.Endpoint) bool { return true }
 		for i := range 8 {
-			h.o.Endpoints.Update(time.Now(), []*endpoint.Endpoint{engineAt("new"+strconv.Itoa(i), "a", endpoint.StageDecode)}, nil)
+			h.o.Endpoints.Put(time.Now(), engineAt("new"+strconv.Itoa(i), "a", endpoint.StageDecode))
 			h.step(t.Context())
 			time.Sleep(stepEvery)
 		}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -34,6 +34,8 @@
 	Born  int64
 	Slots int
 	Stage Stage
+	// Revision is the store's revision of the entry.
+	Revision int64
 	// Draining endpoints take no new work.
 	Draining bool
 }
--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -8,9 +8,12 @@
 
 // Set is the endpoints that may take work. It is safe for concurrent use.
 //
-// An entry that is gone from the registry is believed to be gone, except within
-// the time that the registry needs to recover after an outage: then entries
-// lapse although their endpoints live.
+// Listings and watches of the registry may answer in any order, so an entry
+// counts only if it is not older than what is known of its ID. An endpoint that
+// has said that it drains takes no work again under the same start. An entry
+// that is gone is believed to be gone, except within the time that the registry
+// needs to recover after an outage: then entries lapse although their endpoints
+// live.
 type Set struct {
 	// settle is how long after an outage missing entries are kept.
 	settle time.Duration
@@ -18,9 +21,10 @@
 	mu        sync.RWMutex
 	byService map[string][]*Endpoint
 	byID      map[string]*Endpoint
-	// left are endpoints seen as draining or gone; they take no work again
-	// under the same start.
-	left map[Key]time.Time
+	// drained are the starts that have said that they leave, seen the newest
+	// revision of each ID, and when they were noted.
+	drained map[Key]time.Time
+	seen    map[string]sighting
 	// failing is true while the registry cannot be read; recovered is when it
 	// could be read again.
 	failing   bool
@@ -28,14 +32,21 @@
 	listed    time.Time
 }
 
-// leftMemory is how long a leaving endpoint is remembered: longer than any
-// drain lasts.
-const leftMemory = time.Minute
+// sighting is the newest that was read of an ID, also of one that is gone.
+type sighting struct {
+	revision int64
+	at       time.Time
+}
+
+// memory is how long an endpoint that is gone is remembered: longer than any
+// drain lasts and any read takes.
+const memory = time.Minute
 
 // NewSet returns an empty set.
 func NewSet(settle time.Duration) *Set {
 	return &Set{
-		settle: settle, byService: make(map[string][]*Endpoint), byID: make(map[string]*Endpoint), left: make(map[Key]time.Time),
+		settle: settle, byService: make(map[string][]*Endpoint), byID: make(map[string]*Endpoint),
+		drained: make(map[Key]time.Time), seen: make(map[string]sighting),
 	}
 }
 
@@ -44,9 +55,6 @@
 	Added, Left, Restaged, Kept []*Endpoint
 }
 
-// Empty says that nothing changed.
-func (c Change) Empty() bool { return len(c.Added)+len(c.Left)+len(c.Restaged) == 0 }
-
 // Failed notes that the registry could not be read.
 func (s *Set) Failed() {
 	s.mu.Lock()
@@ -54,8 +62,9 @@
 	s.failing = true
 }
 
-// Replace takes a whole listing of the registry.
-func (s *Set) Replace(now time.Time, listing []*Endpoint) Change {
+// Replace takes a whole listing of the registry as it stood at a revision or
+// later.
+func (s *Set) Replace(now time.Time, revision int64, listing []*Endpoint) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failing {
@@ -63,42 +72,64 @@
 	}
 	s.listed = now
 	var change Change
-	next := make(map[string]*Endpoint, len(listing))
+	present := make(map[string]bool, len(listing))
 	for _, e := range listing {
-		s.take(now, e, next, &change)
+		present[e.ID] = true
+		s.put(now, e, &change)
 	}
-	settling := !s.recovered.IsZero() && now.Sub(s.recovered) < s.settle
 	for id, old := range s.byID {
-		switch {
-		case next[id] != nil:
-		case s.left[old.Key()] != (time.Time{}):
-		case settling:
-			next[id] = old
-			change.Kept = append(change.Kept, old)
-		default:
-			s.left[old.Key()] = now
-			change.Left = append(change.Left, old)
+		if !present[id] && old.Revision <= revision {
+			s.remove(now, old, &change)
 		}
 	}
-	s.install(now, next)
+	s.install(now)
 	return change
 }
 
-// take puts one listed endpoint into next unless it is leaving.
-func (s *Set) take(now time.Time, e *Endpoint, next map[string]*Endpoint, change *Change) {
+// Put takes one entry of the registry.
+func (s *Set) Put(now time.Time, e *Endpoint) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var change Change
+	s.put(now, e, &change)
+	s.install(now)
+	return change
+}
+
+// Remove takes the removal of an ID's entry at a revision.
+func (s *Set) Remove(now time.Time, id string, revision int64) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var change Change
+	if revision < s.seen[id].revision {
+		return change
+	}
+	s.seen[id] = sighting{revision, now}
+	if old := s.byID[id]; old != nil {
+		s.remove(now, old, &change)
+	}
+	s.install(now)
+	return change
+}
+
+// put takes an entry. The caller holds mu.
+func (s *Set) put(now time.Time, e *Endpoint, change *Change) {
+	if e.Revision < s.seen[e.ID].revision {
+		return
+	}
+	s.seen[e.ID] = sighting{e.Revision, now}
 	old := s.byID[e.ID]
 	if e.Draining {
-		if old != nil && s.left[e.Key()].IsZero() {
+		s.drained[e.Key()] = now
+	}
+	if !s.drained[e.Key()].IsZero() {
+		if old != nil {
+			delete(s.byID, e.ID)
 			change.Left = append(change.Left, e)
 		}
-		s.left[e.Key()] = now
 		return
 	}
-	// A listing that is ready again after it lapsed is believed: only an
-	// endpoint that lives writes it. One that has announced its leaving never
-	// comes back under the same start.
-	delete(s.left, e.Key())
-	next[e.ID] = e
+	s.byID[e.ID] = e
 	switch {
 	case old == nil || old.Key() != e.Key():
 		change.Added = append(change.Added, e)
@@ -107,54 +138,38 @@
 	}
 }
 
-func (s *Set) install(now time.Time, next map[string]*Endpoint) {
-	s.byID = next
+// remove takes an endpoint out whose entry is missing, unless entries may have
+// lapsed in an outage. The caller holds mu.
+func (s *Set) remove(now time.Time, old *Endpoint, change *Change) {
+	if s.failing || !s.recovered.IsZero() && now.Sub(s.recovered) < s.settle {
+		change.Kept = append(change.Kept, old)
+		return
+	}
+	delete(s.byID, old.ID)
+	change.Left = append(change.Left, old)
+}
+
+// install rebuilds what is read often and forgets what is long gone. The caller
+// holds mu.
+func (s *Set) install(now time.Time) {
 	s.byService = make(map[string][]*Endpoint)
-	for _, e := range next {
+	for id, e := range s.byID {
 		s.byService[e.Service] = append(s.byService[e.Service], e)
+		s.seen[id] = sighting{s.seen[id].revision, now}
 	}
 	for _, list := range s.byService {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
-	for key, at := range s.left {
-		if now.Sub(at) > leftMemory {
-			delete(s.left, key)
-		}
-	}
-}
-
-// Update takes changes of single entries: present endpoints and IDs whose
-// entries were removed.
-func (s *Set) Update(now time.Time, present []*Endpoint, removed []string) Change {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var change Change
-	next := make(map[string]*Endpoint, len(s.byID))
-	for id, e := range s.byID {
-		next[id] = e
-	}
-	settling := s.failing || !s.recovered.IsZero() && now.Sub(s.recovered) < s.settle
-	for _, id := range removed {
-		old := next[id]
-		if old == nil {
-			continue
+	for key, at := range s.drained {
+		if now.Sub(at) > memory {
+			delete(s.drained, key)
 		}
-		if settling {
-			change.Kept = append(change.Kept, old)
-			continue
-		}
-		delete(next, id)
-		s.left[old.Key()] = now
-		change.Left = append(change.Left, old)
 	}
-	for _, e := range present {
-		if e.Draining {
-			delete(next, e.ID)
+	for id, last := range s.seen {
+		if now.Sub(last.at) > memory {
+			delete(s.seen, id)
 		}
-		s.take(now, e, next, &change)
 	}
-	s.install(now, next)
-	return change
 }
 
 // Service returns the endpoints of a service; the caller does not change the
@@ -172,17 +187,6 @@
 	return s.byID[id]
 }
 
-// All returns all endpoints.
-func (s *Set) All() []*Endpoint {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	all := make([]*Endpoint, 0, len(s.byID))
-	for _, e := range s.byID {
-		all = append(all, e)
-	}
-	return all
-}
-
 // Listed says whether the registry was ever read.
 func (s *Set) Listed() bool {
 	s.mu.RLock()
--- a/internal/endpoint/set_test.go
+++ b/internal/endpoint/set_test.go
@@ -26,11 +26,11 @@
 func TestADrainingEndpointTakesNoWork(t *testing.T) {
 	is := is.New(t)
 	s := NewSet(settle)
-	s.Replace(start, []*Endpoint{engine("a"), engine("b")})
+	s.Replace(start, 0, []*Endpoint{engine("a"), engine("b")})
 	is.Equal(ids(s), "ab")
 	leaving := engine("a")
 	leaving.Draining = true
-	c := s.Update(start, []*Endpoint{leaving}, nil)
+	c := s.Put(start, leaving)
 	is.Equal(len(c.Left), 1)
 	is.Equal(ids(s), "b")
 }
@@ -38,8 +38,8 @@
 func TestAMissingEntryIsGone(t *testing.T) {
 	is := is.New(t)
 	s := NewSet(settle)
-	s.Replace(start, []*Endpoint{engine("a"), engine("b")})
-	s.Replace(start.Add(time.Second), []*Endpoint{engine("b")})
+	s.Replace(start, 0, []*Endpoint{engine("a"), engine("b")})
+	s.Replace(start.Add(time.Second), 0, []*Endpoint{engine("b")})
 	is.Equal(ids(s), "b")
 }
 
@@ -48,15 +48,15 @@
 func TestEntriesThatLapsedInAnOutageAreKeptForAWhile(t *testing.T) {
 	is := is.New(t)
 	s := NewSet(settle)
-	s.Replace(start, []*Endpoint{engine("a"), engine("b")})
+	s.Replace(start, 0, []*Endpoint{engine("a"), engine("b")})
 	s.Failed()
 	back := start.Add(5 * time.Second)
-	c := s.Replace(back, []*Endpoint{engine("b")})
+	c := s.Replace(back, 0, []*Endpoint{engine("b")})
 	is.Equal(len(c.Kept), 1)
 	is.Equal(ids(s), "ab")
-	s.Update(back.Add(time.Second), nil, []string{"a"})
+	s.Remove(back.Add(time.Second), "a", 0)
 	is.Equal(ids(s), "ab")
-	s.Replace(back.Add(settle), []*Endpoint{engine("b")})
+	s.Replace(back.Add(settle), 0, []*Endpoint{engine("b")})
 	is.Equal(ids(s), "b")
 }
 
@@ -65,12 +65,12 @@
 func TestADrainingEndpointStaysOutThroughAnOutage(t *testing.T) {
 	is := is.New(t)
 	s := NewSet(settle)
-	s.Replace(start, []*Endpoint{engine("a"), engine("b")})
+	s.Replace(start, 0, []*Endpoint{engine("a"), engine("b")})
 	leaving := engine("a")
 	leaving.Draining = true
-	s.Replace(start, []*Endpoint{leaving, engine("b")})
+	s.Replace(start, 0, []*Endpoint{leaving, engine("b")})
 	s.Failed()
-	s.Replace(start.Add(time.Second), []*Endpoint{engine("b")})
+	s.Replace(start.Add(time.Second), 0, []*Endpoint{engine("b")})
 	is.Equal(ids(s), "b")
 }
 
@@ -80,11 +80,11 @@
 	s := NewSet(settle)
 	leaving := engine("a")
 	leaving.Born, leaving.Draining = 1, true
-	s.Replace(start, []*Endpoint{leaving})
+	s.Replace(start, 0, []*Endpoint{leaving})
 	is.Equal(ids(s), "")
 	again := engine("a")
 	again.Born = 2
-	c := s.Replace(start, []*Endpoint{again})
+	c := s.Replace(start, 0, []*Endpoint{again})
 	is.Equal(len(c.Added), 1)
 	is.Equal(ids(s), "a")
 }
@@ -92,10 +92,62 @@
 func TestAChangeOfStageIsTold(t *testing.T) {
 	is := is.New(t)
 	s := NewSet(settle)
-	s.Replace(start, []*Endpoint{engine("a")})
+	s.Replace(start, 0, []*Endpoint{engine("a")})
 	other := engine("a")
 	other.Stage = StagePrefill
-	c := s.Update(start, []*Endpoint{other}, nil)
+	c := s.Put(start, other)
 	is.Equal(len(c.Restaged), 1)
 	is.Equal(s.Get("a").Stage, StagePrefill)
 }
+
+// at is an engine as its entry stood at a revision.
+func at(id string, revision int64) *Endpoint {
+	e := engine(id)
+	e.Revision = revision
+	return e
+}
+
+// A slow listing answers after the watch: what the watch told is newer.
+func TestAnOlderListingChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settle)
+	s.Replace(start, 10, []*Endpoint{at("a", 5), at("b", 6)})
+	s.Remove(start, "a", 12)
+	s.Put(start, at("c", 13))
+	restaged := at("b", 14)
+	restaged.Stage = StagePrefill
+	s.Put(start, restaged)
+	s.Replace(start, 11, []*Endpoint{at("a", 5), at("b", 6)})
+	is.Equal(ids(s), "bc")
+	is.Equal(s.Get("b").Stage, StagePrefill)
+}
+
+// An entry that an endpoint wrote before it drained, and that comes after, does
+// not bring it back; the same holds for a listing that was read before.
+func TestADrainingEndpointNeverComesBack(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settle)
+	s.Replace(start, 10, []*Endpoint{at("a", 5), at("b", 6)})
+	leaving := at("a", 12)
+	leaving.Draining = true
+	s.Put(start, leaving)
+	s.Replace(start, 11, []*Endpoint{at("a", 5), at("b", 6)})
+	is.Equal(ids(s), "b")
+	s.Put(start, at("a", 15)) // a late heartbeat
+	is.Equal(ids(s), "b")
+	again := at("a", 16)
+	again.Born = 7
+	s.Put(start, again)
+	is.Equal(ids(s), "ab")
+}
+
+// An entry that lapsed and is written again is an endpoint that lives.
+func TestALapsedEntryThatReturnsIsBelieved(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settle)
+	s.Put(start, at("a", 5))
+	s.Remove(start, "a", 6)
+	is.Equal(ids(s), "")
+	s.Put(start, at("a", 7))
+	is.Equal(ids(s), "a")
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,7 +57,7 @@
 		}, "/none/x", nil, http.StatusServiceUnavailable, "stale_configuration"},
 		{"over the rate", func(s *site) { s.configure().quota.taken = 1_000_000 }, "/stream/x", []string{"Prompt", "5"}, http.StatusTooManyRequests, "rate_limited"},
 		{"ending", func(s *site) { s.configure(); s.ending, s.left = true, time.Second }, "/stream/x", nil, http.StatusServiceUnavailable, "host_ending"},
-		{"no endpoint", func(s *site) { s.configure().endpoints.Replace(time.Now(), nil) }, "/once/x", nil, http.StatusServiceUnavailable, "no_endpoint"},
+		{"no endpoint", func(s *site) { s.configure().endpoints.Replace(time.Now(), 0, nil) }, "/once/x", nil, http.StatusServiceUnavailable, "no_endpoint"},
 		{"too late", func(s *site) { s.configure() }, "/stream/x", []string{"Prompt", "900000"}, http.StatusServiceUnavailable, "too_late"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -119,7 +119,7 @@
 		[]*catalog.Service{{Name: "app"}, {Name: "engine", Engine: &catalog.Engine{LinkMbps: 1e6, TokenBytes: 1e5}}},
 		[]*catalog.Workspace{{Name: "w", Priority: -1, Rate: 1}}, map[string]string{"k": "w"}))
 	s.holder.Confirm(1, lease.SystemClock{}.Now())
-	s.endpoints.Replace(time.Now(), []*endpoint.Endpoint{
+	s.endpoints.Replace(time.Now(), 0, []*endpoint.Endpoint{
 		{ID: "a1", Address: "a1", Service: "app", Slots: 6},
 		{ID: "a2", Address: "a2", Service: "app", Slots: 6},
 		{ID: "a3", Address: "a3", Service: "app", Slots: 6},
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	s := newSite(t).configure()
 	s.prefill = func(*Dispatch) (Prefilled, error) {
-		s.endpoints.Update(time.Now(), nil, []string{"e1"})
+		s.endpoints.Remove(time.Now(), "e1", 0)
 		return Prefilled{Source: "cache"}, nil
 	}
 	s.send = func(int, context.Context, *Dispatch) (*Reply, error) { return reply(http.StatusOK, events), nil }
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -163,7 +163,7 @@
 			listing = append(listing, e)
 		}
 	}
-	h.changed(h.endpoints.Replace(time.Now(), listing))
+	h.changed(h.endpoints.Replace(time.Now(), int64(revision), listing))
 	h.listed.Store(int64(revision))
 	return nil
 }
@@ -199,12 +199,12 @@
 	for _, ev := range events {
 		if ev.Deleted {
 			if id, ok := h.o.Ports.Endpoints.ID(ev.Key); ok {
-				h.changed(h.endpoints.Update(time.Now(), nil, []string{id}))
+				h.changed(h.endpoints.Remove(time.Now(), id, int64(ev.Revision)))
 			}
 			continue
 		}
 		if e, ok := h.decodeEndpoint(ev.KeyValue); ok {
-			h.changed(h.endpoints.Update(time.Now(), []*endpoint.Endpoint{e}, nil))
+			h.changed(h.endpoints.Put(time.Now(), e))
 		}
 	}
 }
