peer: each peer is told all news; states in order; no lock held while one is made

An older state could come after a newer one. Change: news are told by a mark for each peer, moved on when the peer has answered; states are made on demand under a lock of their own and numbered.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,8 +78,6 @@
 	// leader is the host that last said to have the duties, and when.
 	leader   string
 	leaderAt time.Time
-	// usageAt is when peers were last told of usage counts.
-	usageAt time.Time
 	// ordered is until when engines that this host ordered change their stage.
 	ordered map[string]time.Time
 }
@@ -99,7 +97,7 @@
 	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
 	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Log)
-	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
+	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, News: h.news, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
 	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Window: s.QuotaWindow, Full: s.FirstStart}, h.group)
 	h.leases = h.newLeases()
 	h.holder = h.newHolder()
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -9,24 +9,40 @@
 	"github.com/acacialink/acacialink/internal/peer"
 )
 
-// snapshot is what this host tells its peers.
+// snapshot is this host's state, for its peers.
 func (h *Host) snapshot() *peer.Snapshot {
-	loads, placed := h.tracker.Loads(time.Now())
-	_, _, leads := h.leases.Held(duty.Piece)
+	now := time.Now()
 	return &peer.Snapshot{
-		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: time.Since(h.begun).Milliseconds(), Wall: time.Now().UnixMilli(),
-		Loads: loads, Placed: placed, Spent: h.limiter.Spent(), Usage: h.usage(),
-		Switching: h.switches(), Leads: leads && !h.draining.Load(), Draining: h.draining.Load(),
+		Host: h.o.Settings.Name, Incarnation: h.inc, Uptime: now.Sub(h.begun).Milliseconds(), Wall: now.UnixMilli(),
+		Loads: h.tracker.Loads(now), Spent: h.limiter.Spent(), Switching: h.switches(),
+		Leads: h.leads() && !h.draining.Load(), Draining: h.draining.Load(),
+	}
+}
+
+// usageEvery is the time after which a peer is told of usage counts again.
+const usageEvery = 800 * time.Millisecond
+
+// news adds what a peer has not been told.
+func (h *Host) news(out *peer.Snapshot, told peer.Mark) peer.Mark {
+	out.Placed, told.Placed = h.tracker.PlacedSince(told.Placed)
+	if now := time.Now(); now.Sub(told.Usage) >= usageEvery {
+		out.Usage, told.Usage = h.counter.Own(), now
 	}
+	return told
 }
 
-// hear takes a peer's snapshot.
-func (h *Host) hear(s *peer.Snapshot) {
+// hear takes a peer's snapshot; unless it is newer than what was heard before,
+// only its news count.
+func (h *Host) hear(s *peer.Snapshot, newer bool) {
 	now := time.Now()
-	h.tracker.Peer(now, s.Host, s.Loads, s.Placed)
+	h.tracker.PeerPlaced(now, s.Placed)
+	h.counter.Peer(s.Incarnation, s.Usage)
+	if !newer {
+		return
+	}
+	h.tracker.Peer(now, s.Host, s.Loads)
 	h.limiter.Peer(s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
 	h.tracker.Switching(now, s.Switching)
-	h.counter.Peer(s.Incarnation, s.Usage)
 	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -38,20 +54,6 @@
 	}
 }
 
-// usageEvery is the time between the snapshots that hold usage counts.
-const usageEvery = 800 * time.Millisecond
-
-// usage is the counts for peers, or nil in the snapshots between.
-func (h *Host) usage() map[int64]map[string]int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now := time.Now(); now.Sub(h.usageAt) >= usageEvery {
-		h.usageAt = now
-		return h.counter.Own()
-	}
-	return nil
-}
-
 // switching notes an engine that this host ordered to change its stage.
 func (h *Host) switching(e *endpoint.Endpoint, takes time.Duration) {
 	now := time.Now()
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -20,6 +20,9 @@
 	exchangePerPeer = 20 * time.Millisecond
 	// urgeEvery bounds exchanges that are asked for in between.
 	urgeEvery = 25 * time.Millisecond
+	// stateAge is how old a state may be that peers are told, so that it is not
+	// made anew for each of them.
+	stateAge = 40 * time.Millisecond
 	// audibleFor is how long after its last snapshot a peer counts as heard,
 	// and audibleRounds the same in exchanges.
 	audibleFor    = 600 * time.Millisecond
@@ -34,9 +37,13 @@
 // Options configure a Group.
 type Options struct {
 	Directory *Directory
-	// Make returns this host's snapshot, Take handles a peer's.
+	// Make returns this host's state. News adds what a peer has not been told
+	// and returns the mark that it will have been told up to.
 	Make func() *Snapshot
-	Take func(*Snapshot)
+	News func(out *Snapshot, told Mark) Mark
+	// Take handles a peer's snapshot. Its state is newer than what was taken
+	// of it before, or it is not and only the news count.
+	Take func(in *Snapshot, newer bool)
 	// Told is called when a peer has taken a snapshot of this host.
 	Told func(peer string, s *Snapshot)
 	// Gone is told of peers that left the directory.
@@ -50,12 +57,22 @@
 
 	mu    sync.Mutex
 	links map[string]*runner
-	heard map[string]time.Time
-	// latest is the snapshot that peers are answered with.
+	heard map[string]hearing
+
+	// making is held while a state is made, and never together with mu: what
+	// makes it may wait for a caller of Audible.
+	making sync.Mutex
 	latest *Snapshot
 	made   time.Time
 }
 
+// hearing is what was last heard of a peer.
+type hearing struct {
+	at          time.Time
+	incarnation string
+	sequence    int64
+}
+
 // runner is the loop that exchanges with one peer.
 type runner struct {
 	entry Entry
@@ -65,29 +82,41 @@
 
 // NewGroup returns a group that has heard nobody.
 func NewGroup(o Options) *Group {
-	return &Group{o: o, links: make(map[string]*runner), heard: make(map[string]time.Time)}
+	return &Group{o: o, links: make(map[string]*runner), heard: make(map[string]hearing)}
 }
 
 // Serve answers peers until ctx ends.
 func (g *Group) Serve(ctx context.Context, l net.Listener) error {
 	return serve(ctx, l, func(in *Snapshot) *Snapshot {
 		g.take(in)
-		return g.snapshot()
+		return g.state(stateAge)
 	})
 }
 
 func (g *Group) take(in *Snapshot) {
 	g.mu.Lock()
-	g.heard[in.Host] = time.Now()
+	last := g.heard[in.Host]
+	newer := in.Incarnation != last.incarnation || in.Sequence > last.sequence
+	if newer {
+		last.incarnation, last.sequence = in.Incarnation, in.Sequence
+	}
+	last.at = time.Now()
+	g.heard[in.Host] = last
 	g.mu.Unlock()
-	g.o.Take(in)
+	g.o.Take(in, newer)
 }
 
-func (g *Group) snapshot() *Snapshot {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.latest == nil {
-		g.latest = g.o.Make()
+// state is this host's state, at most as old as age.
+func (g *Group) state(age time.Duration) *Snapshot {
+	g.making.Lock()
+	defer g.making.Unlock()
+	if g.latest == nil || time.Since(g.made) > age {
+		sequence := int64(1)
+		if g.latest != nil {
+			sequence = g.latest.Sequence + 1
+		}
+		g.latest, g.made = g.o.Make(), time.Now()
+		g.latest.Sequence = sequence
 	}
 	return g.latest
 }
@@ -97,7 +126,6 @@
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
 	for {
-		g.renew()
 		g.reconcile(ctx)
 		select {
 		case <-ctx.Done():
@@ -142,9 +170,12 @@
 	timer := time.NewTimer(exchangeEvery)
 	defer timer.Stop()
 	lost := false
+	age := stateAge
+	var told Mark
 	for {
-		out := g.snapshot()
-		in, err := l.exchange(ctx, out)
+		out := *g.state(age)
+		mark := g.o.News(&out, told)
+		in, err := l.exchange(ctx, &out)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -156,7 +187,8 @@
 				g.o.Log.Info("peer regained", observe.FieldPeer, e.Host)
 			}
 			lost = false
-			g.o.Told(e.Host, out)
+			told = mark
+			g.o.Told(e.Host, &out)
 			g.take(in)
 		}
 		if !backing.Pause(ctx, urgeEvery) {
@@ -167,8 +199,9 @@
 		case <-ctx.Done():
 			return
 		case <-urge:
-			g.renew()
+			age = 0
 		case <-timer.C:
+			age = stateAge
 		}
 	}
 }
@@ -191,20 +224,6 @@
 	return len(g.links)
 }
 
-// renew makes the snapshot anew if it is not fresh.
-func (g *Group) renew() {
-	g.mu.Lock()
-	fresh := time.Since(g.made) < urgeEvery
-	g.mu.Unlock()
-	if fresh {
-		return
-	}
-	made := g.o.Make()
-	g.mu.Lock()
-	g.latest, g.made = made, time.Now()
-	g.mu.Unlock()
-}
-
 // Audible is the number of hosts, this one included, and the names of the
 // others that this host hears.
 func (g *Group) Audible() (hosts int, heard []string) {
@@ -214,7 +233,7 @@
 	defer g.mu.Unlock()
 	heard = make([]string, 0, len(others))
 	for name := range others {
-		if now.Sub(g.heard[name]) < max(audibleFor, audibleRounds*pace(len(others))) {
+		if now.Sub(g.heard[name].at) < max(audibleFor, audibleRounds*pace(len(others))) {
 			heard = append(heard, name)
 		}
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
 
@@ -25,6 +27,10 @@
 	heard map[string]int64
 	told  map[string]bool
 	gone  map[string]bool
+	// placed counts the dispatches that were heard, by engine.
+	placed map[string]int
+	// dispatches are this host's; they do not change.
+	dispatches []placement.Placed
 }
 
 func join(t *testing.T, store *kv.Store, name string) *member {
@@ -33,13 +39,29 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &member{listener: l, heard: make(map[string]int64), told: make(map[string]bool), gone: make(map[string]bool)}
+	m := &member{listener: l, heard: make(map[string]int64), told: make(map[string]bool), gone: make(map[string]bool), placed: make(map[string]int)}
+	for i := range 40 {
+		m.dispatches = append(m.dispatches, placement.Placed{Engine: name + strconv.Itoa(i)})
+	}
 	log := slog.New(slog.DiscardHandler)
 	m.directory = NewDirectory(Entry{Host: name, Address: l.Addr().String(), Incarnation: name + "-1"}, store.Client(name), log)
 	m.group = NewGroup(Options{
 		Directory: m.directory, Log: log,
 		Make: func() *Snapshot { return &Snapshot{Host: name, Spent: map[string]int64{"w": 7}} },
-		Take: func(s *Snapshot) { m.note(func() { m.heard[s.Host] = s.Spent["w"] }) },
+		News: func(out *Snapshot, told Mark) Mark {
+			out.Placed = m.dispatches[told.Placed:]
+			return Mark{Placed: int64(len(m.dispatches))}
+		},
+		Take: func(s *Snapshot, newer bool) {
+			m.note(func() {
+				if newer {
+					m.heard[s.Host] = s.Spent["w"]
+				}
+				for _, p := range s.Placed {
+					m.placed[p.Engine]++
+				}
+			})
+		},
 		Told: func(peer string, _ *Snapshot) { m.note(func() { m.told[peer] = true }) },
 		Gone: func(peer string) { m.note(func() { m.gone[peer] = true }) },
 	})
@@ -93,6 +115,44 @@
 	is.Equal(hosts, 2)
 }
 
+// Every peer hears all news, however seldom it is talked to.
+func TestEveryPeerHearsTheNews(t *testing.T) {
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	a, b, c := join(t, store, "a"), join(t, store, "b"), join(t, store, "c")
+	for _, m := range []*member{a, b, c} {
+		until(t, m.is(func() bool { return len(m.placed) == 2*len(m.dispatches) }))
+	}
+}
+
+// States that overtake each other are told apart; their news count all the same.
+func TestAnOlderStateIsToldApart(t *testing.T) {
+	is := is.New(t)
+	var newer []bool
+	g := NewGroup(Options{Take: func(_ *Snapshot, n bool) { newer = append(newer, n) }})
+	for _, s := range []Snapshot{{Incarnation: "a-1", Sequence: 5}, {Incarnation: "a-1", Sequence: 4}, {Incarnation: "a-1", Sequence: 6}, {Incarnation: "a-2", Sequence: 1}} {
+		s.Host = "a"
+		g.take(&s)
+	}
+	is.Equal(newer, []bool{true, false, true, true})
+}
+
+// A host that is asked for its state while a caller asks who is audible does
+// not lock up: what makes a state waits for such callers.
+func TestAStateIsMadeWhileCallersAsk(t *testing.T) {
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	var g *Group
+	g = NewGroup(Options{
+		Directory: NewDirectory(Entry{Host: "a"}, store.Client("a"), slog.New(slog.DiscardHandler)),
+		Make: func() *Snapshot {
+			g.Audible()
+			return &Snapshot{}
+		},
+	})
+	g.state(0)
+}
+
 // A host that listens no more, but whose entry is there, is not heard.
 func TestASilentPeerIsNotAudible(t *testing.T) {
 	store := kv.New(kv.Options{})
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -10,25 +10,37 @@
 	"github.com/acacialink/acacialink/internal/placement"
 )
 
-// Snapshot is what one host tells the others.
+// Snapshot is what one host tells the others: its state at a moment, and news
+// that a peer has not been told yet.
 type Snapshot struct {
 	Host string `json:"host"`
 	// Incarnation names one start of the process, Uptime its age in ms.
 	Incarnation string `json:"inc"`
 	Uptime      int64  `json:"up"`
+	// Sequence orders the states of one start.
+	Sequence int64 `json:"seq"`
 	// Wall is the host's time of day in Unix milliseconds, as it reads it.
 	Wall int64 `json:"wall"`
-	// Loads is its work at each engine, Placed its latest dispatches.
-	Loads  map[string]placement.Load `json:"loads,omitempty"`
-	Placed []placement.Placed        `json:"placed,omitempty"`
+	// Loads is its work at each engine.
+	Loads map[string]placement.Load `json:"loads,omitempty"`
 	// Spent is what it took of each workspace's rate.
 	Spent map[string]int64 `json:"spent,omitempty"`
-	// Usage counts the requests that began, by window and workspace.
-	Usage map[int64]map[string]int64 `json:"usage,omitempty"`
 	// Switching holds the engines that this host ordered to change their stage,
 	// and the time left.
 	Switching map[string]time.Duration `json:"switching,omitempty"`
 	// Leads says that it holds the control lease; Draining that it is about to end.
 	Leads    bool `json:"leads,omitempty"`
 	Draining bool `json:"draining,omitempty"`
+
+	// News that peers may hear twice: the latest dispatches, and usage counts
+	// by window and workspace.
+	Placed []placement.Placed         `json:"placed,omitempty"`
+	Usage  map[int64]map[string]int64 `json:"usage,omitempty"`
+}
+
+// Mark is how much of a host's news a peer has been told.
+type Mark struct {
+	// Placed counts dispatches, Usage is when counts were last told.
+	Placed int64
+	Usage  time.Time
 }
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -39,16 +39,24 @@
 		for _, h := range shared {
 			g.hold(now, now.Add(p.FirstEvent), h)
 		}
-		if len(t.placed) < maxPlaced {
-			t.placed = append(t.placed, Placed{Engine: e.ID, Parts: shared, ReadIn: p.FirstEvent})
-		}
+		t.place(Placed{Engine: e.ID, Parts: shared, ReadIn: p.FirstEvent})
 	}
 	return f
 }
 
-// maxPlaced bounds the dispatches kept for peers.
+// maxPlaced bounds the dispatches kept for peers: those of a few seconds.
 const maxPlaced = 256
 
+// place remembers a dispatch. The caller holds mu.
+func (t *Tracker) place(p Placed) {
+	if len(t.placed) == maxPlaced {
+		gone := maxPlaced / 2
+		t.placed = append(t.placed[:0], t.placed[gone:]...)
+		t.first += int64(gone)
+	}
+	t.placed = append(t.placed, p)
+}
+
 func (j *Job) sharedHashes() []uint64 {
 	if len(j.Parts) < 2 {
 		return nil
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -74,7 +74,7 @@
 			break
 		}
 	}
-	tr.Peer(start, "peer", map[string]Load{other: {Tokens: 9000}}, nil)
+	tr.Peer(start, "peer", map[string]Load{other: {Tokens: 9000}})
 	second, _ := tr.Plan(start, engines, newJob(0, 8000), moves)
 	is.True(second.Prefill.ID != first.Prefill.ID)
 	is.True(second.Prefill.ID != other)
@@ -182,7 +182,7 @@
 		is.True(ok)
 		is.Equal(e.Domain, from.Domain)
 	}
-	tr.Peer(start, "peer", map[string]Load{"d0": {Memory: 480_000}}, nil)
+	tr.Peer(start, "peer", map[string]Load{"d0": {Memory: 480_000}})
 	e, ok := tr.Runner(start, engines, newJob(0, 9000), moves, engines[0])
 	is.True(ok)
 	is.Equal(e.ID, "d1")
@@ -242,6 +242,38 @@
 	is.True(play(400, false) > 100)
 }
 
+// Dispatches are told to each peer by number; those that are too old are left out.
+func TestDispatchesSinceANumber(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker(DefaultCosts())
+	engines := fleet(1, 1)
+	plan := Plan{Prefill: engines[0], Run: engines[1], Read: 1000}
+	dispatch := func(n int) {
+		for range n {
+			tr.Begin(start, engines[0], &plan, newJob(500, 500)).Done()
+		}
+	}
+	dispatch(3)
+	placed, next := tr.PlacedSince(0)
+	is.Equal(len(placed), 3)
+	is.Equal(next, int64(3))
+	dispatch(2)
+	placed, next = tr.PlacedSince(next)
+	is.Equal(len(placed), 2)
+	is.Equal(next, int64(5))
+	dispatch(10 * maxPlaced)
+	placed, next = tr.PlacedSince(next)
+	is.True(len(placed) <= maxPlaced)
+	is.Equal(next, int64(5+10*maxPlaced))
+	// What a peer hears of is fetched from there.
+	other := NewTracker(DefaultCosts())
+	job := newJob(5000, 1000)
+	other.Plan(start, engines, job, moves)
+	other.PeerPlaced(start, []Placed{{Engine: "p0", Parts: []uint64{1}}, {Engine: "p0", Parts: []uint64{1}}})
+	p, _ := other.Plan(start.Add(time.Second), engines, job, moves)
+	is.Equal(p.Read, 1000)
+}
+
 func BenchmarkPlan(b *testing.B) {
 	tr := NewTracker(DefaultCosts())
 	engines := fleet(6, 3)
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,9 @@
 	// peers holds the load that each other host reported, by engine.
 	peers map[string]peerLoad
 	rates map[endpoint.Stage]*rate
-	// placed are the dispatches that peers have not been told of.
+	// placed are the latest dispatches, the first of which is number first.
 	placed []Placed
+	first  int64
 	// switches holds the engines that change their stage, and until when.
 	switches map[string]time.Time
 }
@@ -127,9 +129,8 @@
 	return sum
 }
 
-// Loads is this host's work at each engine, for its peers, with the dispatches
-// since the last call.
-func (t *Tracker) Loads(now time.Time) (map[string]Load, []Placed) {
+// Loads is this host's work at each engine, for its peers.
+func (t *Tracker) Loads(now time.Time) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[string]Load, len(t.engines))
@@ -138,16 +139,29 @@
 			out[id] = l
 		}
 	}
-	placed := t.placed
-	t.placed = nil
-	return out, placed
+	return out
 }
 
-// Peer takes another host's report.
-func (t *Tracker) Peer(now time.Time, host string, loads map[string]Load, placed []Placed) {
+// PlacedSince returns the dispatches from a number on, as far as they are
+// remembered, and the number of the next one.
+func (t *Tracker) PlacedSince(number int64) ([]Placed, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := max(0, min(number-t.first, int64(len(t.placed))))
+	return slices.Clone(t.placed[known:]), t.first + int64(len(t.placed))
+}
+
+// Peer takes another host's work.
+func (t *Tracker) Peer(now time.Time, host string, loads map[string]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[host] = peerLoad{at: now, engines: loads}
+}
+
+// PeerPlaced takes another host's dispatches. One may come twice.
+func (t *Tracker) PeerPlaced(now time.Time, placed []Placed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, p := range placed {
 		if g := t.engines[p.Engine]; g != nil {
 			for _, h := range p.Parts {
