platform: decides nothing; one HTTP caller, one header filter, one set of settings

Cause (reading the change): the adapter chose verdicts and Retry-After, and whether an engine needs an order; it had its own HTTP caller, which told every lost call of the platform's API for unknown; the rule which headers go on stood in entry, backing and platform; bounds were copied three times; fields were decoded that nobody reads. Stages were balanced only where usage reports are wanted. A deployment that states no window would divide by zero. Change: verdicts are gateway's (failure.go), the look at an engine before its order is duty's, backing.Caller sends calls to the platform, endtoend filters headers, settings are decoded into host.Settings, which has defaults.

--- a/cmd/acacialink/gateway.go
+++ b/cmd/acacialink/gateway.go
@@ -37,19 +37,19 @@
 	defer cancel()
 	out := observe.NewAsyncWriter(os.Stdout)
 	defer out.Close()
-	id := observe.Identity{Process: s.Host, Role: "entry", Domain: s.Domain}
+	id := observe.Identity{Process: s.Host.Name, Role: "entry", Domain: s.Host.Domain}
 	log := observe.NewLogger(out, slog.LevelInfo, id)
 	go reloads(path, log)
-	log.Info("start", "callers", s.Callers, "ready", s.Ready, "peers", s.Control, "store", s.Store, "first_start", s.FirstStart)
-	err = host.New(host.Options{Settings: hostSettings(s), Ports: ports(s), Registry: observe.NewRegistry(id), Log: log}).Run(stop)
+	log.Info("start", "callers", s.Host.Callers, "ready", s.Host.Ready, "peers", s.Host.Peers, "store", s.Store, "first_start", s.Host.FirstStart)
+	err = host.New(host.Options{Settings: s.Host, Ports: ports(s), Registry: observe.NewRegistry(id), Log: log}).Run(stop)
 	log.Info("stop", observe.FieldError, err)
 	return err
 }
 
 // limitMemory keeps the heap below the process's limit.
 func limitMemory(s platform.Settings) {
-	if s.Limits.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryBytes)))
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 }
 
@@ -65,17 +65,7 @@
 			continue
 		}
 		limitMemory(s)
-		log.Info("settings reloaded", "memory_bytes", s.Limits.MemoryBytes)
-	}
-}
-
-func hostSettings(s platform.Settings) host.Settings {
-	b := s.Bounds
-	return host.Settings{
-		Name: s.Host, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Peers: s.Control, FirstStart: s.FirstStart,
-		ConfigApply: b.ConfigApply, Drain: b.Drain, Revoke: b.Revoke, Returned: b.Returned, Grace: b.Grace,
-		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetrySlack: b.RetrySlack,
-		QuotaSlack: b.QuotaSlack, QuotaWindow: b.QuotaWindow, Lease: b.Lease, UsageWindow: b.UsageWindow,
+		log.Info("settings reloaded", "memory_bytes", s.MemoryBytes)
 	}
 }
 
--- a/internal/backing/call_http.go
+++ b/internal/backing/call_http.go
@@ -17,24 +17,26 @@
 // maxAnswerBytes bounds the answer of a platform service.
 const maxAnswerBytes = 64 << 20
 
-// httpCaller sends calls to one platform service.
-type httpCaller struct {
+// Caller sends calls to one service. The transport never repeats one.
+type Caller struct {
 	base   string
 	client *http.Client
 }
 
-func newCaller(base string, client *http.Client) httpCaller {
-	return httpCaller{base: strings.TrimSuffix(base, "/"), client: newClient(client)}
+// NewCaller returns a caller of the service at a base URL. A nil client means one
+// with NewTransport.
+func NewCaller(base string, client *http.Client) Caller {
+	return Caller{base: strings.TrimSuffix(base, "/"), client: newClient(client)}
 }
 
 // read sends a call without effect: whatever goes wrong, nothing happened.
-func (c httpCaller) read(ctx context.Context, timeout time.Duration, path string, out any) error {
+func (c Caller) read(ctx context.Context, timeout time.Duration, path string, out any) error {
 	err := c.exchange(ctx, timeout, http.MethodGet, path, nil, out)
-	return withoutEffect(err)
+	return WithoutEffect(err)
 }
 
 // write sends a call that may take effect.
-func (c httpCaller) write(ctx context.Context, timeout time.Duration, path string, in, out any) error {
+func (c Caller) write(ctx context.Context, timeout time.Duration, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Wrap(ErrRejected, err.Error())
@@ -42,7 +44,7 @@
 	return c.exchange(ctx, timeout, http.MethodPost, path, body, out)
 }
 
-func (c httpCaller) exchange(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) error {
+func (c Caller) exchange(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := c.raw(ctx, method, path, "application/json", body)
@@ -56,35 +58,49 @@
 }
 
 // raw sends one request and returns the body of a 200 answer.
-func (c httpCaller) raw(ctx context.Context, method, path, contentType string, body []byte) ([]byte, error) {
-	req, sent, err := newRequest(ctx, method, c.base+path, body)
+func (c Caller) raw(ctx context.Context, method, path, contentType string, body []byte) ([]byte, error) {
+	var header http.Header
+	if body != nil {
+		header = http.Header{"Content-Type": {contentType}}
+	}
+	status, answer, err := c.Do(ctx, method, path, header, body)
 	if err != nil {
 		return nil, err
 	}
-	if body != nil {
-		req.Header.Set("Content-Type", contentType)
+	if status != http.StatusOK {
+		return nil, decodeError(status, answer)
+	}
+	return answer, nil
+}
+
+// Do sends one request and returns its answer, whatever its status. The error is
+// ErrUnavailable if no byte was sent, and ErrUnknown if the answer was lost.
+func (c Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (status int, answer []byte, err error) {
+	req, sent, err := newRequest(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return nil, c.failed(sent, err)
+		return 0, nil, c.failed(sent, err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return nil, c.failed(sent, err)
+		return 0, nil, c.failed(sent, err)
 	}
 	if len(answer) > maxAnswerBytes {
-		return nil, errors.Wrap(ErrUnknown, "answer above the limit")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, decodeError(resp.StatusCode, answer)
+		return 0, nil, errors.Wrap(ErrUnknown, "answer above the limit")
 	}
-	return answer, nil
+	return resp.StatusCode, answer, nil
 }
 
 // failed maps a transport error. Idle connections are closed, because they
 // may be as dead as the one that failed.
-func (c httpCaller) failed(sent *atomic.Bool, cause error) error {
+func (c Caller) failed(sent *atomic.Bool, cause error) error {
 	c.client.CloseIdleConnections()
 	return transportError(sent, cause)
 }
@@ -114,8 +130,9 @@
 	return &callError{kind: ErrUnavailable, cause: cause}
 }
 
-// withoutEffect turns an unknown outcome into ErrUnavailable.
-func withoutEffect(err error) error {
+// WithoutEffect turns an unknown outcome into ErrUnavailable, for calls that
+// change nothing.
+func WithoutEffect(err error) error {
 	if errors.Is(err, ErrUnknown) {
 		return &callError{kind: ErrUnavailable, cause: errors.New(err.Error())}
 	}
--- a/internal/backing/engine_http.go
+++ b/internal/backing/engine_http.go
@@ -18,10 +18,10 @@
 
 // HTTPEngine is the adapter of Engine to HTTP, with streams as lines of JSON.
 type HTTPEngine struct {
-	caller httpCaller
+	caller Caller
 	// fresh sends orders, each on its own connection, so that a dead idle
 	// connection never makes an order's outcome unknown.
-	fresh httpCaller
+	fresh Caller
 }
 
 var _ Engine = (*HTTPEngine)(nil)
@@ -29,8 +29,8 @@
 // NewHTTPEngine returns an adapter that calls the engine at the base URL. A
 // nil client means one with NewTransport.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
-	caller := newCaller(base, client)
-	fresh := httpCaller{base: caller.base, client: freshClient(caller.client)}
+	caller := NewCaller(base, client)
+	fresh := Caller{base: caller.base, client: freshClient(caller.client)}
 	return &HTTPEngine{caller: caller, fresh: fresh}
 }
 
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
 	defer cancel()
 	value, err := e.caller.raw(ctx, http.MethodGet, "/v1/kv/"+url.PathEscape(id), "", nil)
-	return value, withoutEffect(err)
+	return value, WithoutEffect(err)
 }
 
 // ImportKV implements Engine.
--- a/internal/backing/hostlist_http.go
+++ b/internal/backing/hostlist_http.go
@@ -10,7 +10,7 @@
 
 // HTTPHostList is the adapter of HostList to HTTP with JSON bodies.
 type HTTPHostList struct {
-	caller httpCaller
+	caller Caller
 }
 
 var _ HostList = (*HTTPHostList)(nil)
@@ -18,7 +18,7 @@
 // NewHTTPHostList returns an adapter that reads the list at the base URL. A
 // nil client means one with NewTransport.
 func NewHTTPHostList(base string, client *http.Client) *HTTPHostList {
-	return &HTTPHostList{caller: newCaller(base, client)}
+	return &HTTPHostList{caller: NewCaller(base, client)}
 }
 
 // Hosts implements HostList.
--- a/internal/backing/provider_http.go
+++ b/internal/backing/provider_http.go
@@ -18,7 +18,7 @@
 
 // HTTPProvider is the adapter of Provider to HTTP with JSON bodies.
 type HTTPProvider struct {
-	caller httpCaller
+	caller Caller
 }
 
 var _ Provider = (*HTTPProvider)(nil)
@@ -26,7 +26,7 @@
 // NewHTTPProvider returns an adapter that calls the provider at the base URL.
 // A nil client means one with NewTransport.
 func NewHTTPProvider(base string, client *http.Client) *HTTPProvider {
-	return &HTTPProvider{caller: newCaller(base, client)}
+	return &HTTPProvider{caller: NewCaller(base, client)}
 }
 
 // Order implements Provider.
--- a/internal/backing/service_http.go
+++ b/internal/backing/service_http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/endtoend"
 )
 
 const (
@@ -17,17 +19,13 @@
 	requestIDHeader     = "X-Request-Id"
 )
 
-// withheldHeaders never reach a service: headers that carry keys and those
-// that belong to one connection.
-var withheldHeaders = []string{
-	"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key",
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Host", "Content-Length",
-}
+// withheldHeaders never reach a service beside those that belong to one
+// connection: headers that carry keys.
+var withheldHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Host"}
 
 // HTTPService is the adapter of Service to a plain HTTP service.
 type HTTPService struct {
-	caller httpCaller
+	caller Caller
 	// once sends the calls that may run at most once. Each gets a new
 	// connection: the transport repeats requests on reused ones by itself when
 	// they carry an Idempotency-Key header, and a caller may send that header.
@@ -39,7 +37,7 @@
 // NewHTTPService returns an adapter that calls the service at the base URL. A
 // nil client means one with NewTransport.
 func NewHTTPService(base string, client *http.Client) *HTTPService {
-	caller := newCaller(base, client)
+	caller := NewCaller(base, client)
 	return &HTTPService{caller: caller, once: freshClient(caller.client)}
 }
 
@@ -82,9 +80,7 @@
 	for name, values := range r.Header {
 		header[http.CanonicalHeaderKey(name)] = values
 	}
-	for _, name := range withheldHeaders {
-		header.Del(name)
-	}
+	header = endtoend.Header(header, withheldHeaders, nil)
 	header.Set(requestIDHeader, r.ID)
 	if header.Get("User-Agent") == "" {
 		header.Set("User-Agent", "") // Keeps net/http from adding its own.
--- a/internal/backing/store_http.go
+++ b/internal/backing/store_http.go
@@ -13,7 +13,7 @@
 
 // HTTPStore is the adapter of Store to HTTP with JSON bodies.
 type HTTPStore struct {
-	caller httpCaller
+	caller Caller
 }
 
 var _ Store = (*HTTPStore)(nil)
@@ -21,7 +21,7 @@
 // NewHTTPStore returns an adapter that calls the store at the base URL. A nil
 // client means one with NewTransport.
 func NewHTTPStore(base string, client *http.Client) *HTTPStore {
-	return &HTTPStore{caller: newCaller(base, client)}
+	return &HTTPStore{caller: NewCaller(base, client)}
 }
 
 func (s *HTTPStore) call(ctx context.Context, timeout time.Duration, op string, in StoreCall) (StoreAnswer, error) {
@@ -32,7 +32,7 @@
 
 func (s *HTTPStore) read(ctx context.Context, timeout time.Duration, op string, in StoreCall) (StoreAnswer, error) {
 	out, err := s.call(ctx, timeout, op, in)
-	return out, withoutEffect(err)
+	return out, WithoutEffect(err)
 }
 
 // Get implements Store.
--- a/internal/backing/usage_http.go
+++ b/internal/backing/usage_http.go
@@ -10,7 +10,7 @@
 
 // HTTPUsageSink is the adapter of UsageSink to HTTP with JSON bodies.
 type HTTPUsageSink struct {
-	caller httpCaller
+	caller Caller
 }
 
 var _ UsageSink = (*HTTPUsageSink)(nil)
@@ -18,7 +18,7 @@
 // NewHTTPUsageSink returns an adapter that reports to the base URL. A nil
 // client means one with NewTransport.
 func NewHTTPUsageSink(base string, client *http.Client) *HTTPUsageSink {
-	return &HTTPUsageSink{caller: newCaller(base, client)}
+	return &HTTPUsageSink{caller: NewCaller(base, client)}
 }
 
 // Report implements UsageSink.
--- a/internal/backing/weights_http.go
+++ b/internal/backing/weights_http.go
@@ -16,7 +16,7 @@
 
 // HTTPWeightStore is the adapter of WeightStore to HTTP with JSON bodies.
 type HTTPWeightStore struct {
-	caller httpCaller
+	caller Caller
 }
 
 var _ WeightStore = (*HTTPWeightStore)(nil)
@@ -24,7 +24,7 @@
 // NewHTTPWeightStore returns an adapter that asks the store at the base URL. A
 // nil client means one with NewTransport.
 func NewHTTPWeightStore(base string, client *http.Client) *HTTPWeightStore {
-	return &HTTPWeightStore{caller: newCaller(base, client)}
+	return &HTTPWeightStore{caller: NewCaller(base, client)}
 }
 
 // Estimate implements WeightStore.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,35 +50,22 @@
 
 // Service is a set of endpoints that serve the same requests.
 type Service struct {
-	Name, HealthPath string
+	Name string
 	// MaxConnections is what one endpoint takes from all callers together.
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
-	// Scaling is nil where the number of endpoints is fixed.
-	Scaling *Scaling
 }
 
 // Engine describes a model engine.
 type Engine struct {
-	// Slots is the largest batch, MemoryTokens the KV cache in tokens.
-	Slots        int
+	// MemoryTokens is the KV cache in tokens, TokenBytes that of one token, and
+	// LinkMbps what moves it.
 	MemoryTokens int64
-	// TokenBytes is the KV cache of one token; LinkMbps what moves it.
-	TokenBytes int64
-	LinkMbps   float64
-	// HandleLife is how long a prefilled KV cache is kept for its taker.
-	HandleLife time.Duration
+	TokenBytes   int64
+	LinkMbps     float64
 	// StageSwitch is how long an endpoint is away when its stage changes.
 	StageSwitch time.Duration
-	// Moves and Backups say whether running requests can be moved or backed up.
-	Moves, Backups bool
-}
-
-// Scaling bounds the ordered endpoints of a service in each failure domain.
-type Scaling struct {
-	Min, Max int
-	Boot     time.Duration
 }
 
 // Workspace is a customer with keys and a rate.
@@ -95,9 +82,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Catalog is one version of the configuration. It is not changed once built.
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -22,8 +22,18 @@
 	Held(piece string) (fence int64, deadline time.Time, ok bool)
 }
 
+// EngineReport is what an engine says of itself.
+type EngineReport struct {
+	Stage endpoint.Stage
+	// Busy says that it carries out an order, Orders how many it has accepted.
+	Busy   bool
+	Orders int64
+}
+
 // Engines takes orders for engines.
 type Engines interface {
+	// Report asks an engine for its state.
+	Report(ctx context.Context, e *endpoint.Endpoint) (EngineReport, error)
 	// Stage orders an engine to another stage. ErrFenced: a later holder gave
 	// orders to it.
 	Stage(ctx context.Context, holder string, fence int64, o StageOrder) error
@@ -38,9 +48,10 @@
 	// one: holders must not take turns faster.
 	Quiet time.Duration
 	// Settle is how long after a window's end its counts are collected.
-	Settle    time.Duration
-	Counter   *Counter
-	Store     backing.Store
+	Settle  time.Duration
+	Counter *Counter
+	Store   backing.Store
+	// Reporter is nil where nobody wants usage reports.
 	Reporter  Reporter
 	Engines   Engines
 	Catalog   *catalog.Holder
@@ -59,7 +70,8 @@
 	o         Options
 	reporting reporting
 	// fence is the number that this host holds the lease under, since when it
-	// took it, wait how long it does nothing after that, and refused is a number under which a later one was seen.
+	// took it, wait how long it does nothing after that, and refused a number
+	// under which a later one was seen.
 	fence   int64
 	since   lease.Instant
 	wait    time.Duration
@@ -115,7 +127,9 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	h.note(h.stages(ctx, fence), "stage order")
-	h.note(h.reporting.step(ctx, fence), "usage report")
+	if h.o.Reporter != nil {
+		h.note(h.reporting.step(ctx, fence), "usage report")
+	}
 }
 
 // note logs a failed duty; one that was refused for a later fence is not tried
@@ -155,11 +169,7 @@
 				return nil
 			}
 			h.ordered[order.Engine.Key()] = now
-			h.o.Switching(order.Engine, s.Engine.StageSwitch)
-			err := h.o.Engines.Stage(ctx, h.o.Host, fence, order)
-			h.o.Log.Info("stage ordered", observe.FieldEndpoint, order.Engine.ID, "stage", order.Stage.String(),
-				observe.FieldFence, fence, observe.FieldError, err)
-			if err != nil {
+			if err := h.order(ctx, fence, order, s.Engine.StageSwitch); err != nil {
 				return errors.Wrapf(err, "order engine %s", order.Engine.ID)
 			}
 		}
@@ -167,6 +177,24 @@
 	return nil
 }
 
+// order asks the engine where it is and orders it to the stage, unless it is
+// there or on its way: the registry is behind.
+func (h *Holder) order(ctx context.Context, fence int64, o StageOrder, takes time.Duration) error {
+	report, err := h.o.Engines.Report(ctx, o.Engine)
+	if err != nil {
+		return err
+	}
+	if report.Busy || report.Stage == o.Stage {
+		return nil
+	}
+	o.After = report.Orders
+	h.o.Switching(o.Engine, takes)
+	err = h.o.Engines.Stage(ctx, h.o.Host, fence, o)
+	h.o.Log.Info("stage ordered", observe.FieldEndpoint, o.Engine.ID, "stage", o.Stage.String(),
+		observe.FieldFence, fence, observe.FieldError, err)
+	return err
+}
+
 const (
 	// balancePatience is how long engines are out of balance before one is
 	// ordered to change: one that crashed is back sooner than a change would
--- a/internal/duty/stages.go
+++ b/internal/duty/stages.go
@@ -19,6 +19,9 @@
 type StageOrder struct {
 	Engine *endpoint.Endpoint
 	Stage  endpoint.Stage
+	// After is the number of orders that the engine must have accepted before,
+	// so that a late copy of this one changes nothing.
+	After int64
 }
 
 // Orders returns the changes that bring the engines to the balance: engines of
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/endtoend"
 	"github.com/acacialink/acacialink/internal/once"
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -119,10 +120,8 @@
 func (s *Server) writeAnswer(w http.ResponseWriter, a once.Response) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.opts.Timeouts.Write))
 	h := w.Header()
-	for name, values := range a.Header {
-		if !isHopByHop(name) && name != requestIDHeader {
-			h[http.CanonicalHeaderKey(name)] = values
-		}
+	for name, values := range endtoend.Header(a.Header, []string{requestIDHeader}, nil) {
+		h[name] = values
 	}
 	h.Set(verdict.Header, verdict.Ran.String())
 	w.WriteHeader(a.Status)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/placement"
 )
@@ -79,20 +81,39 @@
 	Source string
 }
 
-// Sender sends calls to endpoints. Each method puts one request on the wire.
+// Errors of a prefill that the engine has answered.
+var (
+	// ErrPrefillRejected means that the engine did not read the prompt.
+	ErrPrefillRejected = errors.New("engine rejected a prefill")
+	// ErrPrefillGarbled means that its answer names no cache.
+	ErrPrefillGarbled = errors.New("engine's answer names no cache")
+)
+
+// Sender sends calls to endpoints. Each method puts one request on the wire. A
+// request without an answer is an *outbound.Failure.
 type Sender interface {
-	// Send returns the answer, or a *verdict.Error that says whether the
-	// request may have run.
+	// Send returns the answer.
 	Send(ctx context.Context, c *Call, d *Dispatch) (*Reply, error)
-	// Prefill reads the prompt, or returns a *verdict.Error.
+	// Prefill has the prompt read; see ErrPrefillRejected and ErrPrefillGarbled.
 	Prefill(ctx context.Context, c *Call, d *Dispatch) (Prefilled, error)
 	// Release frees a KV cache that will not be taken.
 	Release(ctx context.Context, e *endpoint.Endpoint, p Prefilled) error
 }
 
+// MalformedError is a request that states its facts in a form that cannot be
+// read.
+type MalformedError struct {
+	// Code is a stable name, Message one lower-case sentence.
+	Code, Message string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string { return e.Code + ": " + e.Message }
+
 // Ingress reads callers' requests and names the answers.
 type Ingress interface {
-	// Call reads a request's head.
+	// Call reads a request's head, as far as it can. The error is a
+	// *MalformedError.
 	Call(r *http.Request) (*Call, error)
 	// Identify names the request in an answer of the gateway's own.
 	Identify(h http.Header, c *Call)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,7 @@
 	call, err := q.g.o.Ingress.Call(r)
 	q.call = call
 	if err != nil {
-		return err
+		return malformed(err)
 	}
 	if err := q.admit(); err != nil {
 		return err
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,9 @@
 // the request.
 const codeRejected = "endpoint_rejected"
 
+// codePrefillRejected names the same for a prefill.
+const codePrefillRejected = "prefill_rejected"
+
 const (
 	// maxSends bounds the sends of one request, rejected ones included.
 	maxSends = 4
@@ -67,11 +70,12 @@
 	q.exclude[d.Endpoint.ID] = true
 	reply, err := q.g.o.Sender.Send(ctx, q.call, d)
 	if err != nil {
-		q.g.o.Metrics.Sends.Add(verdict.As(err).Code, 1)
-		if verdict.Of(err) != verdict.NotRun {
+		failed := sendFailure(err)
+		q.g.o.Metrics.Sends.Add(failed.Code, 1)
+		if failed.Verdict != verdict.NotRun {
 			q.runs++
 		}
-		return nil, err
+		return nil, failed
 	}
 	if reply.NotRun || reply.Moved {
 		code := codeRejected
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,17 +123,18 @@
 	sent := time.Now()
 	prefilled, err := q.g.o.Sender.Prefill(ctx, q.call, d)
 	if err != nil {
-		q.g.o.Metrics.Sends.Add("prefill_"+verdict.As(err).Code, 1)
+		failed := prefillFailure(err)
+		q.g.o.Metrics.Sends.Add(failed.Code, 1)
 		q.exclude[plan.Prefill.ID] = true
 		switch {
 		case ctx.Err() != nil:
 			f.Done()
-		case verdict.As(err).Code == "prefill_rejected":
+		case failed.Code == codePrefillRejected:
 			f.Rejected(time.Now())
 		default:
 			f.Failed(time.Now())
 		}
-		return Prefilled{}, err
+		return Prefilled{}, failed
 	}
 	q.g.o.Metrics.Sends.Add("prefilled", 1)
 	f.Read(time.Now())
--- a/internal/host/follow_test.go
+++ b/internal/host/follow_test.go
@@ -25,7 +25,7 @@
 // hostOf is a host that has not been started.
 func hostOf(decode func(backing.KeyValue) (*endpoint.Endpoint, error)) *Host {
 	return New(Options{
-		Settings: Settings{Name: "h", Revoke: 5 * time.Second, UsageWindow: time.Second, RetryWindow: time.Second, QuotaWindow: time.Second},
+		Settings: Settings{Name: "h"},
 		Ports: Ports{
 			Connections: noConnections{},
 			Endpoints:   EndpointSource{Decode: decode, ID: func(key string) (string, bool) { return key, true }},
@@ -83,3 +83,12 @@
 	is.NoErr(h.takeConfig(backing.KeyValue{Revision: 8, Value: []byte("8")}))
 	is.Equal(h.catalog.Current().Version, int64(8))
 }
+
+// A deployment that states no bounds is served all the same.
+func TestBoundsHaveDefaults(t *testing.T) {
+	is := is.New(t)
+	h := hostOf(nil)
+	is.Equal(h.o.Settings.Grace, defaultGrace)
+	h.counter.Began("w") // windows of no length would not divide
+	is.Equal(Settings{Grace: time.Second}.withDefaults().Grace, time.Second)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,6 +84,7 @@
 
 // New returns a host that does nothing yet.
 func New(o Options) *Host {
+	o.Settings = o.Settings.withDefaults()
 	s := o.Settings
 	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision), ordered: make(map[string]time.Time)}
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
@@ -192,9 +193,7 @@
 	all.Go(func() {
 		var duties sync.WaitGroup
 		duties.Go(func() { h.leases.Run(stop) })
-		if h.o.Ports.Reporter != nil {
-			duties.Go(func() { h.holder.Run(stop) })
-		}
+		duties.Go(func() { h.holder.Run(stop) })
 		duties.Wait()
 		if err := h.leases.Close(ctx); err != nil {
 			h.o.Log.Info("duties' lease was not ended", "error", err)
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -15,37 +15,6 @@
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
-// Settings configure a host.
-type Settings struct {
-	Name, Domain string
-	// Callers, Ready and Peers are the addresses to listen on.
-	Callers, Ready, Peers string
-	// FirstStart is true when the whole deployment starts for the first time.
-	FirstStart bool
-	// ConfigApply is how soon a change of the configuration is in force, Drain
-	// how soon a leaving endpoint gets no more requests.
-	ConfigApply, Drain time.Duration
-	// Revoke is how soon a removed key is refused, on every host.
-	Revoke time.Duration
-	// Returned is how long endpoints may need to be listed again after an
-	// outage of the store.
-	Returned time.Duration
-	// Grace is the time from the order to stop to the end of the process.
-	Grace time.Duration
-	// RetryRatio, RetryWindow and RetrySlack bound repeated sends over all hosts.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
-	// QuotaSlack is the tokens that all hosts may go over a workspace's rate.
-	QuotaSlack float64
-	// QuotaWindow is the span in which a workspace may use its rate and burst.
-	QuotaWindow time.Duration
-	// Lease is the time in which holders of duties must not take turns.
-	Lease time.Duration
-	// UsageWindow is the length of a usage window.
-	UsageWindow time.Duration
-}
-
 // ConfigSource is where the configuration lies, and how to read it.
 type ConfigSource struct {
 	Key    string
