gateway, host: an engine's own failure is relayed; one watch loop

A stream that may be resumed whose last engine failed the request got 502 in place of the engine's own answer; watchConfig and watchEndpoints were two copies of one loop; the socket option for silent connections was set in two ways.

Change: the caller of relayWhole says whether failures are held back; one watch loop; rpc uses sockopt.

Measured: the test beside it fails without the change.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -59,13 +60,10 @@
 // end answers an error that has no answer yet, and logs the request.
 func (q *request) end(err error) {
 	q.log(err)
-	if err == nil || errors.Is(err, errCallerGone) {
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	if err == nil {
 		return
 	}
-	if q.answered {
+	if q.answered || errors.Is(err, errCallerGone) {
 		panic(http.ErrAbortHandler)
 	}
 	e := verdict.As(err)
@@ -118,5 +116,5 @@
 	if err != nil {
 		attrs = append(attrs, slog.Any(observe.FieldError, err))
 	}
-	q.g.o.Log.LogAttrs(nil, level, "request ended", attrs...) //nolint:staticcheck // handlers take no context
+	q.g.o.Log.LogAttrs(context.Background(), level, "request ended", attrs...)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -27,7 +27,7 @@
 		d.Once = q.route.Kind == catalog.Once
 		reply, err := q.send(ctx, d)
 		if err == nil {
-			err = q.relayWhole(reply)
+			err = q.relayWhole(reply, q.repeatable())
 			if err == nil {
 				f.Outcome(time.Now(), reply.Status < http.StatusInternalServerError)
 				f.Done()
@@ -72,9 +72,9 @@
 // broken one can be asked for again.
 const wholeBytes = 256 << 10
 
-// relayWhole reads the answer and gives it to the caller. A repeatable request
-// whose endpoint failed gets its failure as an error first.
-func (q *request) relayWhole(reply *Reply) error {
+// relayWhole reads the answer and gives it to the caller; holdFailures makes an
+// endpoint's own failure an error instead, so that another one may be asked.
+func (q *request) relayWhole(reply *Reply, holdFailures bool) error {
 	defer reply.Body.Close()
 	var held bytes.Buffer
 	_, err := io.CopyN(&held, reply.Body, wholeBytes)
@@ -83,7 +83,7 @@
 		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_broken", "the endpoint's answer broke off")
 	}
 	q.began()
-	if reply.Status >= http.StatusInternalServerError && q.repeatable() {
+	if reply.Status >= http.StatusInternalServerError && holdFailures {
 		return &endpointFailure{
 			cause: verdict.New(verdict.Ran, reply.Status, "endpoint_failed", "the endpoint failed the request"),
 			body:  held.Bytes(),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -183,7 +183,7 @@
 		if out.begun || reply.Status >= http.StatusInternalServerError && q.repeatable() && q.runs < q.route.Attempts {
 			return verdict.New(verdict.Ran, http.StatusBadGateway, "endpoint_failed", "the endpoint failed the request")
 		}
-		return q.relayWhole(reply)
+		return q.relayWhole(reply, false)
 	}
 	if !reply.Authentic {
 		f.Failed(time.Now())
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -102,3 +102,21 @@
 	is.Equal(len(s.sends), 2)
 	is.Equal(s.usage.began, 1)
 }
+
+// The last engine's own failure is what the caller gets, also of a stream that
+// may be resumed.
+func TestAnEnginesOwnFailureIsRelayed(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t).configure()
+			s.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+				return reply(http.StatusInternalServerError, "own failure"), nil
+			}
+			w := s.ask(path, "Prompt", "50")
+			is.Equal(w.Code, http.StatusInternalServerError)
+			is.Equal(w.Body.String(), "own failure")
+			is.Equal(w.Header().Get("Seal"), "s")
+		})
+	}
+}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -104,31 +104,38 @@
 
 // watchConfig takes changes of the configuration as they happen.
 func (h *Host) watchConfig(ctx context.Context) {
+	h.watch(ctx, h.o.Ports.Config.Key, h.catalog.Revision, func(events []backing.Event) {
+		for _, ev := range events {
+			if ev.Key != h.o.Ports.Config.Key || ev.Deleted {
+				continue
+			}
+			if err := h.takeConfig(ev.KeyValue); err != nil {
+				h.o.Log.Error("configuration cannot be used", observe.FieldError, err)
+			}
+		}
+	})
+}
+
+// watch takes changes of a prefix, from the revision that was read last on. The
+// polling reads find what a watch misses; after a failed one it begins anew.
+func (h *Host) watch(ctx context.Context, prefix string, read func() int64, take func([]backing.Event)) {
 	after := backing.Revision(0)
 	for ctx.Err() == nil {
-		after = max(after, backing.Revision(h.catalog.Revision()))
+		after = max(after, backing.Revision(read()))
 		if after == 0 {
 			backing.Pause(ctx, watchRetry)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-		events, next, err := h.o.Ports.Store.Watch(callCtx, h.o.Ports.Config.Key, after, watchWait)
+		events, next, err := h.o.Ports.Store.Watch(callCtx, prefix, after, watchWait)
 		cancel()
 		if err != nil {
-			// The polling reads find what this watch missed.
-			after = backing.Revision(h.catalog.Revision())
+			after = 0
 			backing.Pause(ctx, watchRetry)
 			continue
 		}
+		take(events)
 		after = next
-		for _, ev := range events {
-			if ev.Key != h.o.Ports.Config.Key || ev.Deleted {
-				continue
-			}
-			if err := h.takeConfig(ev.KeyValue); err != nil {
-				h.o.Log.Error("configuration cannot be used", observe.FieldError, err)
-			}
-		}
 		backing.Pause(ctx, watchSpacing)
 	}
 }
@@ -170,27 +177,7 @@
 
 // watchEndpoints takes changes of endpoints as they happen.
 func (h *Host) watchEndpoints(ctx context.Context) {
-	after := backing.Revision(0)
-	for ctx.Err() == nil {
-		if after == 0 {
-			after = backing.Revision(h.listed.Load())
-		}
-		if after == 0 {
-			backing.Pause(ctx, watchRetry)
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-		events, next, err := h.o.Ports.Store.Watch(callCtx, h.o.Ports.Endpoints.Prefix, after, watchWait)
-		cancel()
-		if err != nil {
-			after = 0
-			backing.Pause(ctx, watchRetry)
-			continue
-		}
-		after = next
-		h.takeEndpoints(events)
-		backing.Pause(ctx, watchSpacing)
-	}
+	h.watch(ctx, h.o.Ports.Endpoints.Prefix, h.listed.Load, h.takeEndpoints)
 }
 
 // takeEndpoints takes changes one by one: an entry may be written and removed
--- a/internal/rpc/dialer.go
+++ b/internal/rpc/dialer.go
@@ -6,8 +6,9 @@
 	"net"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
+
+	"github.com/acacialink/acacialink/internal/sockopt"
 )
 
 // Dialer opens drpc connections to other processes.
@@ -60,7 +61,5 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(opts.Silence.Milliseconds()))
-	})
+	_ = sockopt.UserTimeout(opts.Silence)("", "", raw) // keep-alive probes find silence without it
 }
