--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -135,7 +135,7 @@
 func TestTheBudgetBoundsRepeats(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t).configure()
-	s.gateway.o.Budget = NewBudget(0, 10*time.Second, func() float64 { return 1 })
+	s.gateway.o.Budget = NewBudget(time.Now(), 0, 10*time.Second, func() float64 { return 1 })
 	s.send = func(int, context.Context, *Dispatch) (*Reply, error) { return nil, errLost }
 	for range 3 {
 		s.ask("/read/x")
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -97,7 +97,7 @@
 	s.gateway = New(Options{
 		Ingress: testIngress{}, Sender: s, Catalog: s.holder, Endpoints: s.endpoints,
 		Tracker: placement.NewTracker(placement.DefaultCosts()), Quota: s.quota, Usage: &s.usage,
-		Budget: NewBudget(0.2, 10*time.Second, func() float64 { return 20 }),
+		Budget: NewBudget(time.Now(), 0.2, 10*time.Second, func() float64 { return 20 }),
 		Domain: "d", Hosts: func() int { return 1 }, Ending: func() (time.Duration, bool) { return s.left, s.ending },
 		Metrics: NewMetrics(observe.NewRegistry(observe.Identity{})), Log: slog.New(slog.DiscardHandler),
 	})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -104,7 +104,7 @@
 	h.holder = h.newHolder()
 	h.gateway = gateway.New(gateway.Options{
 		Ingress: o.Ports.Ingress, Sender: o.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker,
-		Quota: h.limiter, Usage: h.counter, Budget: gateway.NewBudget(s.RetryRatio*budgetShare, s.RetryWindow, h.slack),
+		Quota: h.limiter, Usage: h.counter, Budget: gateway.NewBudget(h.begun, s.RetryRatio*budgetShare, s.RetryWindow, h.slack),
 		Domain: s.Domain, Hosts: h.hosts, Ending: h.ending, Metrics: gateway.NewMetrics(o.Registry), Log: o.Log,
 	})
 	return h
