limit: a sliding window over all hosts, spread evenly by a bucket

The rate is stated for a sliding window with an overage and a slack; a bucket with the burst refilled by eight tenths used neither, and a workspace of 38,000 tokens a second, whose slack is as large as three seconds of its rate, was held to its bare rate. Parts of silent hosts were set aside as shares of the bucket, also where they had taken more already.

Change: each host counts what every host took in the window (a ring of 64 slots a host and active workspace). It admits what fits into rate, burst, and half of overage and slack; the other half covers what hosts have not heard of each other. For a silent peer its part of the limit is set aside, or what it took if that is more, so that the sides of a split stay within the limit together. A larger request than the unheard part passes by itself where each host could take one, else by a draw. A bucket spreads it evenly.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -133,12 +133,13 @@
 	if q.call.HasTokens {
 		q.tokens = int64(q.call.Prompt + q.call.Output)
 	}
-	return q.g.o.Quota.Take(time.Now(), q.workspace, q.tokens)
+	q.taken = time.Now()
+	return q.g.o.Quota.Take(q.taken, q.workspace, q.tokens)
 }
 
 func (q *request) giveQuota() {
 	if q.workspace != nil {
-		q.g.o.Quota.Give(q.workspace.Name, q.tokens)
+		q.g.o.Quota.Give(time.Now(), q.taken, q.workspace.Name, q.tokens)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,9 @@
 	sends   int
 	// prefills counts the sends that only have the prompt read.
 	prefills int
-	tokens   int64
+	// tokens were taken of the workspace's rate at a time.
+	tokens int64
+	taken  time.Time
 	// counted says that the workspace's usage was counted.
 	counted bool
 	// answered says that the head of the answer was written.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,8 +13,8 @@
 type Quota interface {
 	// Take reserves tokens, or says after how long to ask again.
 	Take(now time.Time, w *catalog.Workspace, tokens int64) (retry time.Duration, ok bool)
-	// Give returns tokens of a request that did not run.
-	Give(workspace string, tokens int64)
+	// Give returns tokens of a request that did not run, taken at a time.
+	Give(now, taken time.Time, workspace string, tokens int64)
 }
 
 // Usage counts what began to run.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -53,7 +53,7 @@
 	return 1500 * time.Millisecond, q.taken <= 1_000_000
 }
 
-func (q *fakeQuota) Give(_ string, n int64) { q.given += n }
+func (q *fakeQuota) Give(_, _ time.Time, _ string, n int64) { q.given += n }
 
 type fakeUsage struct{ began int }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -99,7 +99,9 @@
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
 	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Log)
 	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, News: h.news, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
-	h.limiter = limit.New(limit.Settings{Slack: s.QuotaSlack, Window: s.QuotaWindow, Full: s.FirstStart}, h.group)
+	h.limiter = limit.New(h.begun, limit.Settings{
+		Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack, Full: s.FirstStart,
+	}, h.group)
 	h.leases = h.newLeases()
 	h.holder = h.newHolder()
 	h.gateway = gateway.New(gateway.Options{
@@ -125,8 +127,8 @@
 }
 
 func (h *Host) hosts() int {
-	n, _ := h.group.Audible()
-	return n
+	heard, silent := h.group.Audible()
+	return len(heard) + len(silent) + 1
 }
 
 // told notes what a peer knows of this host, gone that a peer has left.
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -23,8 +23,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
-	// QuotaSlack is the tokens that all hosts may go over a workspace's rate.
-	QuotaSlack float64
+	// QuotaOverage is the share, and QuotaSlack the tokens, by which all hosts
+	// together may go over a workspace's rate and burst.
+	QuotaOverage, QuotaSlack float64
 	// QuotaWindow is the span in which a workspace may use its rate and burst.
 	QuotaWindow time.Duration
 	// Lease is the time in which holders of duties must not take turns.
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -41,7 +41,7 @@
 		return
 	}
 	h.tracker.Peer(now, s.Host, s.Loads)
-	h.limiter.Peer(s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
+	h.limiter.Peer(now, s.Host, s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
 	h.tracker.Switching(now, s.Switching)
 	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
 	h.mu.Lock()
@@ -99,6 +99,6 @@
 	if leader == "" || !fresh || h.draining.Load() {
 		return false
 	}
-	_, heard := h.group.Audible()
+	heard, _ := h.group.Audible()
 	return slices.Contains(heard, leader)
 }
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -1,11 +1,14 @@
 // Package limit keeps each workspace within its rate over all hosts together.
-// Every host has a token bucket for each workspace that holds the whole rate,
-// and hosts tell each other what they took. A host takes no more than its part
-// of a bucket before its peers have heard of it, and sets aside the part of
-// each peer that it cannot hear. It does no I/O.
+// Every host counts what all hosts took in the sliding window that the rate is
+// stated for, and admits what still fits. Hosts tell each other what they took;
+// what a host takes before its peers have heard of it is bounded by its part of
+// a reserve, and for each peer that it cannot hear it sets a part of the limit
+// aside. It does no I/O.
 package limit
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,25 +17,47 @@
 
 // Settings bound the limiter.
 type Settings struct {
-	// Slack is the tokens that all hosts may go over a workspace's rate in a
-	// window; a part of it covers what peers have not yet heard.
-	Slack float64
 	// Window is the span in which a workspace may use its rate and its burst.
 	Window time.Duration
-	// Full says that buckets start full: the deployment starts for the first
-	// time. Otherwise an earlier process may have just emptied them.
+	// Overage is the share, and Slack the tokens, by which all hosts together
+	// may go over that. Both cover what hosts have not yet heard of each other.
+	Overage, Slack float64
+	// Full says that nothing was taken before the process started: the
+	// deployment starts for the first time. Otherwise earlier processes may
+	// have just taken all there was.
 	Full bool
+	// Draw returns a random number in [0, 1); nil stands for the default source.
+	Draw func() float64
 }
 
-// slackShare is the part of the slack that the bucket uses itself. The rest is
-// for the requests that peers admit before they hear of each other's.
-const slackShare = 0.15
+const (
+	// reserveShare is the part of the allowed overage and slack that is kept
+	// for what hosts have not yet heard of each other.
+	reserveShare = 0.5
+	// minReserve is the least of that reserve, as a share of the window's
+	// tokens, where little or no overage is allowed.
+	minReserve = 0.1
+	// steadyBurst is the part of a workspace's burst, and steadySlack that of
+	// the slack, that a workspace which asks steadily gets in each window.
+	steadyBurst, steadySlack = 0.8, 0.35
+	// burstSlack is the part of the slack by which more than a workspace's
+	// burst may be taken at once.
+	burstSlack = 0.15
+	// urgeShare is the part of what may be taken unheard at which peers are
+	// told without waiting for the next exchange.
+	urgeShare = 0.3
+	// untoldRetry is when to ask again after a refusal because peers have not
+	// yet heard of what was taken: they were urged to.
+	untoldRetry = 20 * time.Millisecond
+	// maxHeard bounds the remembered incarnations of peers.
+	maxHeard = 1024
+)
 
 // Peers says which other hosts there are.
 type Peers interface {
-	// Audible returns the number of hosts, this one included, and the names of
-	// the other ones that this host hears.
-	Audible() (hosts int, heard []string)
+	// Audible returns the names of the other hosts that this one hears, and of
+	// those that it does not.
+	Audible() (heard, silent []string)
 	// Urge tells the other hosts soon what this one took.
 	Urge()
 }
@@ -41,29 +66,23 @@
 type Limiter struct {
 	settings Settings
 	peers    Peers
+	begun    time.Time
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu       sync.Mutex
+	accounts map[string]*account
 	// heard is what each incarnation of a peer had taken at its last report,
 	// told what each peer knows of this host's takings.
 	heard map[string]map[string]int64
 	told  map[string]map[string]int64
 }
 
-type bucket struct {
-	level float64
-	at    time.Time
-	// spent is what this process took, less what it gave back.
-	spent int64
-	// reserve is what is set aside for peers that are silent, withheld the
-	// refill that was theirs meanwhile.
-	reserve, withheld float64
-}
-
-// New returns a limiter.
-func New(s Settings, peers Peers) *Limiter {
+// New returns a limiter of a process that began at a time.
+func New(begun time.Time, s Settings, peers Peers) *Limiter {
+	if s.Draw == nil {
+		s.Draw = rand.Float64
+	}
 	return &Limiter{
-		settings: s, peers: peers, buckets: make(map[string]*bucket),
+		settings: s, peers: peers, begun: begun, accounts: make(map[string]*account),
 		heard: make(map[string]map[string]int64), told: make(map[string]map[string]int64),
 	}
 }
@@ -76,54 +95,111 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucket(now, w)
-	hosts, heard := l.peers.Audible()
-	silent := float64(hosts-1-len(heard)) / float64(hosts)
-	rate := l.rate(w)
-	b.refill(now, rate, l.size(w), silent)
-	// A request larger than the bucket passes when the bucket is full.
-	need := min(float64(tokens), l.size(w)*(1-silent))
-	if b.level < need {
-		return time.Duration((need - b.level) / (rate * (1 - silent)) * float64(time.Second)), false
-	}
-	untold, part := l.untold(w.Name, b.spent, heard), l.size(w)/float64(hosts)
-	if float64(untold+tokens) > part*urgeShare {
-		l.peers.Urge()
+	heard, silent := l.peers.Audible()
+	audible := int64(len(heard) + 1)
+	hosts := audible + int64(len(silent))
+	limit, reserve := l.limit(w)
+	slot, part := l.slot(now), limit/hosts
+	a := l.account(w.Name)
+	room := limit - a.known(slot, silent, part) - l.assumed(now, limit)
+	// A request larger than the whole window passes once the window is empty.
+	need := min(tokens, limit-part*int64(len(silent)))
+	if wait := l.pace(now, a, w, need); wait > 0 {
+		return max(untoldRetry, wait), false
 	}
-	if untold > 0 && float64(untold+tokens) > part {
+	if need > room {
+		a.level = min(a.level, float64(need)) // else what the window holds back would come all at once
+		return l.wait(now, a, need-room, limit), false
+	}
+	if !l.unheard(a.spent-l.least(w.Name, heard, a.spent), need, reserve/hosts, room/audible) {
 		return untoldRetry, false
 	}
-	b.level -= float64(tokens)
-	b.spent += tokens
+	a.take(slot, tokens)
 	return 0, true
 }
 
-// Give returns tokens of a request that did not run.
-func (l *Limiter) Give(workspace string, tokens int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.buckets[workspace]; b != nil {
-		b.level += float64(tokens)
-		b.spent -= tokens
-	}
+// pace is the time until the account's bucket holds so many tokens. It spreads
+// evenly what a window allows: a workspace that asks for many times its rate
+// would otherwise have it all at once, and then nothing for the rest of a window.
+func (l *Limiter) pace(now time.Time, a *account, w *catalog.Workspace, tokens int64) time.Duration {
+	rate := w.Rate + (steadyBurst*w.Burst+steadySlack*l.settings.Slack)/l.settings.Window.Seconds()
+	size := w.Burst + burstSlack*l.settings.Slack
+	a.refill(now, rate, size)
+	short := min(float64(tokens), size) - a.level
+	return time.Duration(short / rate * float64(time.Second))
 }
 
-// urgeShare is the part of what may be taken unheard at which peers are told
-// without waiting for the next exchange.
-const urgeShare = 0.3
+// limit is what the workspace may take in a window, as far as hosts know of
+// each other's takings, and the reserve for what they do not know.
+func (l *Limiter) limit(w *catalog.Workspace) (limit, reserve int64) {
+	base := w.Rate*l.settings.Window.Seconds() + w.Burst
+	spare := l.settings.Overage*base + l.settings.Slack
+	kept := max(reserveShare*spare, minReserve*base)
+	return int64(base + spare - kept), int64(kept)
+}
 
-// untoldRetry is when to ask again after a refusal because peers have not yet
-// heard of what was taken: they were urged to.
-const untoldRetry = 20 * time.Millisecond
+// assumed is what earlier processes may have taken that still is in the window:
+// all of it, evenly over the time before the start.
+func (l *Limiter) assumed(now time.Time, limit int64) int64 {
+	if l.settings.Full {
+		return 0
+	}
+	left := 1 - float64(now.Sub(l.begun))/float64(l.settings.Window)
+	return int64(max(0, left) * float64(limit))
+}
 
-// untold is what some peer that is heard does not yet know to be taken. The
-// caller holds mu.
-func (l *Limiter) untold(workspace string, spent int64, heard []string) int64 {
-	most := int64(0)
+// unheard says whether tokens may be taken beside those that some peer does not
+// know of yet. Hosts may take at the same time, so each has a part of the
+// reserve. A request larger than the part passes by itself: if there is room for
+// one on each host, or by a draw, so that about as much is taken as there is.
+func (l *Limiter) unheard(untold, tokens, part, room int64) bool {
+	if float64(untold+tokens) > urgeShare*float64(part) {
+		l.peers.Urge()
+	}
+	switch {
+	case untold+tokens <= part:
+		return true
+	case untold > 0:
+		return false
+	case tokens <= room:
+		return true
+	default:
+		return l.settings.Draw() < float64(room)/float64(tokens)
+	}
+}
+
+// least is the least that some peer that is heard knows of what this process
+// took.
+func (l *Limiter) least(workspace string, heard []string, spent int64) int64 {
+	least := spent
 	for _, name := range heard {
-		most = max(most, spent-l.told[name][workspace])
+		least = min(least, l.told[name][workspace])
 	}
-	return most
+	return least
+}
+
+// wait is the time until so many more tokens have left the window.
+func (l *Limiter) wait(now time.Time, a *account, tokens, limit int64) time.Duration {
+	next := l.begun.Add(time.Duration(a.all.slot+a.all.until(tokens)) * l.width())
+	wait := next.Sub(now)
+	if l.assumed(now, limit) >= tokens { // that leaves the window evenly
+		wait = min(wait, time.Duration(float64(tokens)/float64(limit)*float64(l.settings.Window)))
+	}
+	return max(untoldRetry, wait)
+}
+
+// Give returns tokens of a request that did not run. They were taken at a time.
+func (l *Limiter) Give(now, taken time.Time, workspace string, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[workspace]
+	if a == nil {
+		return
+	}
+	a.all.advance(l.slot(now))
+	a.all.add(l.slot(taken), -tokens)
+	a.spent -= tokens
+	a.level += float64(tokens)
 }
 
 // Told notes that a peer knows of these takings of this host.
@@ -133,7 +209,7 @@
 	l.told[peer] = spent
 }
 
-// Gone forgets a peer that is no longer there.
+// Gone forgets a peer that is no longer there. What it took stays counted.
 func (l *Limiter) Gone(peer string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -144,27 +220,27 @@
 func (l *Limiter) Spent() map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]int64, len(l.buckets))
-	for name, b := range l.buckets {
-		out[name] = b.spent
+	out := make(map[string]int64, len(l.accounts))
+	for name, a := range l.accounts {
+		if a.spent != 0 {
+			out[name] = a.spent
+		}
 	}
 	return out
 }
 
 // Peer takes what an incarnation of a peer has taken so far. Of one that was
 // there before this process, the first report only sets the starting point.
-func (l *Limiter) Peer(incarnation string, older bool, spent map[string]int64) {
+func (l *Limiter) Peer(now time.Time, host, incarnation string, older bool, spent map[string]int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last, known := l.heard[incarnation]
 	if known || !older {
+		slot := l.slot(now)
 		for name, total := range spent {
-			b := l.buckets[name]
-			if b == nil {
-				b = &bucket{}
-				l.buckets[name] = b
+			if took := total - last[name]; took != 0 {
+				l.account(name).heard(slot, host, took)
 			}
-			b.level -= float64(total - last[name])
 		}
 	}
 	if !known && len(l.heard) >= maxHeard {
@@ -173,54 +249,18 @@
 	l.heard[incarnation] = spent
 }
 
-// maxHeard bounds the remembered incarnations of peers.
-const maxHeard = 1024
-
-// rate is what a bucket gets a second. The burst may be used in each window,
-// so a part of it is added to the rate, or a workspace that asks steadily would
-// never have it.
-func (l *Limiter) rate(w *catalog.Workspace) float64 {
-	return w.Rate + burstShare*w.Burst/l.settings.Window.Seconds()
-}
-
-// burstShare is the part of the burst that is refilled in each window. The rest
-// stays in hand, for a full bucket may be taken at once as well.
-const burstShare = 0.8
-
-func (l *Limiter) size(w *catalog.Workspace) float64 {
-	return w.Burst + slackShare*l.settings.Slack
-}
-
-func (l *Limiter) bucket(now time.Time, w *catalog.Workspace) *bucket {
-	b := l.buckets[w.Name]
-	if b == nil {
-		b = &bucket{}
-		l.buckets[w.Name] = b
-	}
-	if b.at.IsZero() { // first used here; peers may have used it before
-		b.at = now
+func (l *Limiter) account(workspace string) *account {
+	a := l.accounts[workspace]
+	if a == nil {
+		a = &account{refilled: l.begun}
 		if l.settings.Full {
-			b.level += l.size(w)
+			a.level = math.Inf(1) // up to its size
 		}
+		l.accounts[workspace] = a
 	}
-	return b
+	return a
 }
 
-// refill adds what came in since the last time. The part of silent hosts, a
-// share of all, is set aside: they may take it without being heard. It comes
-// back when they are heard again, with what they took in their reports.
-func (b *bucket) refill(now time.Time, rate, size, silent float64) {
-	if d := now.Sub(b.at); d > 0 {
-		b.level += rate * d.Seconds() * (1 - silent)
-		b.withheld += rate * d.Seconds() * silent
-		b.at = now
-	}
-	if silent == 0 {
-		b.level += b.withheld
-		b.withheld = 0
-	}
-	b.withheld = min(b.withheld, size*silent)
-	b.level += b.reserve - size*silent
-	b.reserve = size * silent
-	b.level = min(b.level, size*(1-silent))
-}
+func (l *Limiter) width() time.Duration { return l.settings.Window / ringSlots }
+
+func (l *Limiter) slot(now time.Time) int64 { return int64(now.Sub(l.begun) / l.width()) }
--- /dev/null
+++ b/internal/limit/ring.go
@@ -0,0 +1,46 @@
+package limit
+
+// ringSlots is the number of slots that a window is divided into; takings leave
+// the window a slot at a time, and at most one slot late.
+const ringSlots = 64
+
+// ring counts tokens over a sliding window.
+type ring struct {
+	slot  int64
+	sum   int64
+	slots [ringSlots + 1]int64
+}
+
+// advance moves the window to a slot; what is older leaves it.
+func (r *ring) advance(slot int64) {
+	if slot-r.slot > ringSlots {
+		*r = ring{slot: slot}
+		return
+	}
+	for r.slot < slot {
+		r.slot++
+		at := r.slot % (ringSlots + 1)
+		r.sum -= r.slots[at]
+		r.slots[at] = 0
+	}
+}
+
+// add counts tokens in a slot that is still in the window.
+func (r *ring) add(slot, tokens int64) {
+	if r.slot-slot > ringSlots {
+		return
+	}
+	r.slots[slot%(ringSlots+1)] += tokens
+	r.sum += tokens
+}
+
+// until is the number of slots after which at least so many tokens have left.
+func (r *ring) until(tokens int64) int64 {
+	left := int64(0)
+	for i := int64(1); i <= ringSlots+1; i++ {
+		if left += r.slots[(r.slot+i)%(ringSlots+1)]; left >= tokens {
+			return i
+		}
+	}
+	return ringSlots + 1
+}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -224,9 +224,9 @@
 	return len(g.links)
 }
 
-// Audible is the number of hosts, this one included, and the names of the
-// others that this host hears.
-func (g *Group) Audible() (hosts int, heard []string) {
+// Audible returns the names of the other hosts that this host hears, and of
+// those that it does not.
+func (g *Group) Audible() (heard, silent []string) {
 	others := g.o.Directory.Others()
 	now := time.Now()
 	g.mu.Lock()
@@ -235,7 +235,9 @@
 	for name := range others {
 		if now.Sub(g.heard[name].at) < max(audibleFor, audibleRounds*pace(len(others))) {
 			heard = append(heard, name)
+		} else {
+			silent = append(silent, name)
 		}
 	}
-	return len(others) + 1, heard
+	return heard, silent
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -107,12 +107,12 @@
 	// A peer may be heard before its entry is seen; what is told goes to entries.
 	until(t, a.is(func() bool { return a.heard["b"] == 7 && a.heard["c"] == 7 && a.told["b"] && a.told["c"] }))
 	until(t, c.is(func() bool { return c.heard["a"] == 7 && c.heard["b"] == 7 }))
-	until(t, func() bool { hosts, heard := b.group.Audible(); return hosts == 3 && len(heard) == 2 })
+	until(t, func() bool { heard, silent := b.group.Audible(); return len(heard) == 2 && len(silent) == 0 })
 	// One that leaves takes its entry away, and the others forget it.
 	c.stop()
 	until(t, a.is(func() bool { return a.gone["c"] }))
-	hosts, _ := a.group.Audible()
-	is.Equal(hosts, 2)
+	heard, silent := a.group.Audible()
+	is.Equal(len(heard)+len(silent), 1)
 }
 
 // Every peer hears all news, however seldom it is talked to.
@@ -163,7 +163,7 @@
 	store.Client("a").SetDown(true)
 	store.Client("b").SetDown(true)
 	b.stop()
-	until(t, func() bool { hosts, heard := a.group.Audible(); return hosts == 2 && len(heard) == 0 })
+	until(t, func() bool { heard, silent := a.group.Audible(); return len(silent) == 1 && len(heard) == 0 })
 }
 
 // A host that starts again under its name writes over the entry of its
