host, peer: two hosts follow the store for all; peers vouch for what they read

A host cut from the store but not from its peers refused keyed requests after 4.3 s.

Change: the first two hosts by name, of those that hear each other and can read, watch the store and read it often (followers). They tell changes of the registry to all, as they lie in the store. Each answer of an exchange says which configuration and which registry (a sum over keys and revisions) the peer has and how old the read is that found them; if they are the host's own, that counts as its own read from before the exchange. Other hosts read only what nobody confirmed for 0.65 of the bound. An entry that lapsed in an outage is told to be gone once its reader believes it, and every host takes such entries out itself when the time is over.

Ruled out: telling peers of an outage, so that they keep lapsed entries too.

--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -25,6 +25,9 @@
 	// revision of each ID, and when they were noted.
 	drained map[Key]time.Time
 	seen    map[string]sighting
+	// lapsed are endpoints whose entries went missing in an outage: they are
+	// gone unless they are listed again in time.
+	lapsed map[string]bool
 	// failing is true while the registry cannot be read; recovered is when it
 	// could be read again.
 	failing   bool
@@ -46,7 +49,7 @@
 func NewSet(settle time.Duration) *Set {
 	return &Set{
 		settle: settle, byService: make(map[string][]*Endpoint), byID: make(map[string]*Endpoint),
-		drained: make(map[Key]time.Time), seen: make(map[string]sighting),
+		drained: make(map[Key]time.Time), seen: make(map[string]sighting), lapsed: make(map[string]bool),
 	}
 }
 
@@ -62,6 +65,39 @@
 	s.failing = true
 }
 
+// Lapsed says whether an endpoint's entry went missing in an outage, so that it
+// is not yet believed to be gone.
+func (s *Set) Lapsed(id string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.lapsed[id]
+}
+
+// Settle takes out the endpoints whose entries lapsed in an outage and that were
+// not listed again in time.
+func (s *Set) Settle(now time.Time) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var change Change
+	if len(s.lapsed) == 0 || s.unsettled(now) {
+		return change
+	}
+	for id := range s.lapsed {
+		if old := s.byID[id]; old != nil {
+			s.remove(now, old, &change)
+		}
+	}
+	clear(s.lapsed)
+	s.install(now)
+	return change
+}
+
+// unsettled says whether missing entries may have lapsed in an outage. The
+// caller holds mu.
+func (s *Set) unsettled(now time.Time) bool {
+	return s.failing || !s.recovered.IsZero() && now.Sub(s.recovered) < s.settle
+}
+
 // Replace takes a whole listing of the registry as it stood at a revision or
 // later.
 func (s *Set) Replace(now time.Time, revision int64, listing []*Endpoint) Change {
@@ -118,6 +154,7 @@
 		return
 	}
 	s.seen[e.ID] = sighting{e.Revision, now}
+	delete(s.lapsed, e.ID)
 	old := s.byID[e.ID]
 	if e.Draining {
 		s.drained[e.Key()] = now
@@ -141,7 +178,8 @@
 // remove takes an endpoint out whose entry is missing, unless entries may have
 // lapsed in an outage. The caller holds mu.
 func (s *Set) remove(now time.Time, old *Endpoint, change *Change) {
-	if s.failing || !s.recovered.IsZero() && now.Sub(s.recovered) < s.settle {
+	if s.unsettled(now) {
+		s.lapsed[old.ID] = true
 		change.Kept = append(change.Kept, old)
 		return
 	}
--- /dev/null
+++ b/internal/endpoint/view_test.go
@@ -0,0 +1,64 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Views that took the same changes are alike, in whatever order they came and
+// however often.
+func TestViewsOfTheSameRegistryAreAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type change struct {
+			key      string
+			revision int64
+			gone     bool
+		}
+		var changes []change
+		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			changes = append(changes, change{fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), int64(i + 1), rapid.Bool().Draw(t, "gone")})
+		}
+		play := func(v *View, list []change) {
+			for _, c := range list {
+				if c.gone {
+					v.Remove(start, c.key, c.revision)
+				} else {
+					v.Put(start, c.key, c.revision)
+				}
+			}
+		}
+		a, b := NewView(), NewView()
+		play(a, changes)
+		play(b, rapid.Permutation(changes).Draw(t, "order"))
+		play(b, changes)
+		if a.Sum() != b.Sum() {
+			t.Fatalf("sums differ")
+		}
+		b.Put(start, "another", 100)
+		if a.Sum() == b.Sum() {
+			t.Fatalf("sums of different views are equal")
+		}
+	})
+}
+
+func TestWhatAListingLacks(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	empty := v.Sum()
+	is.True(v.Put(start, "a", 3))
+	is.True(!v.Put(start, "a", 3)) // no news
+	is.True(v.Put(start, "b", 9))
+	is.Equal(v.Missing(map[string]bool{}, 5), []string{"a"}) // b is newer than the listing
+	is.True(v.Remove(start, "a", 5))
+	is.True(!v.Put(start, "a", 4))
+	is.True(v.Remove(start, "b", 10))
+	is.Equal(v.Sum(), empty)
+	// What is gone is remembered for a while, so that late news of it are none.
+	later := start.Add(memory + time.Second)
+	v.Remove(later, "c", 11)
+	is.Equal(len(v.keys), 1)
+}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,12 +13,6 @@
 )
 
 const (
-	// pollShare is the part of the time in which a change must be in force
-	// that passes between two reads of its source. A change is seen by the
-	// watch, or, while that stays silent, by the next read.
-	pollShare = 0.65
-	// minPoll bounds the reads of deployments with short bounds.
-	minPoll = 500 * time.Millisecond
 	// watchWait bounds one watch, watchTimeout the wait for its answer beyond
 	// that, watchRetry the pause after a failed one, watchSpacing that after
 	// each, which bounds the calls when much changes.
@@ -26,57 +20,17 @@
 	watchTimeout = time.Second
 	watchRetry   = 300 * time.Millisecond
 	watchSpacing = 30 * time.Millisecond
-	// readTimeout bounds one read.
-	readTimeout = time.Second
 )
 
-// reach logs the loss and the return of one dependency.
-type reach struct {
-	name string
-	log  *slog.Logger
-	lost bool
-}
-
-func (r *reach) note(err error) {
-	switch {
-	case err != nil && !r.lost:
-		r.lost = true
-		r.log.Warn("dependency lost", "dependency", r.name, observe.FieldError, err)
-	case err == nil && r.lost:
-		r.lost = false
-		r.log.Info("dependency regained", "dependency", r.name)
-	}
-}
-
-// pollConfig reads the configuration again and again.
-func (h *Host) pollConfig(ctx context.Context) {
-	seen := &reach{name: "store: configuration", log: h.o.Log}
-	for ctx.Err() == nil {
-		err := h.readConfig(ctx)
-		if errors.Is(err, backing.ErrNotFound) {
-			err = nil // not written yet
-		}
-		if ctx.Err() == nil {
-			seen.note(err)
-		}
-		pause := h.poll(h.o.Settings.ConfigApply)
-		if err != nil || h.catalog.Current() == nil {
-			pause = watchRetry
-		}
-		backing.Pause(ctx, pause)
-	}
-}
-
-// poll is the time between reads of what must be in force within bound.
-func (h *Host) poll(bound time.Duration) time.Duration {
-	return max(minPoll, time.Duration(pollShare*float64(bound)))
-}
-
+// readConfig reads the configuration and confirms it.
 func (h *Host) readConfig(ctx context.Context) error {
 	sent := h.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	kv, err := h.o.Ports.Store.Get(ctx, h.o.Ports.Config.Key)
+	if errors.Is(err, backing.ErrNotFound) {
+		return errNothingYet
+	}
 	if err != nil {
 		return err
 	}
@@ -97,6 +51,7 @@
 		return errors.Wrap(err, "decode the configuration")
 	}
 	if h.catalog.Offer(int64(kv.Revision), c) {
+		h.group.Urge()
 		h.o.Log.Info("configuration in force", observe.FieldRevision, int64(kv.Revision), "config_version", c.Version)
 	}
 	return nil
@@ -116,14 +71,15 @@
 	})
 }
 
-// watch takes changes of a prefix, from the revision that was read last on. The
-// polling reads find what a watch misses; after a failed one it begins anew.
+// watch takes changes of a prefix, from the revision that was read last on,
+// while this host follows the store. The reads find what a watch misses; after a
+// failed one it begins anew.
 func (h *Host) watch(ctx context.Context, prefix string, read func() int64, take func([]backing.Event)) {
 	after := backing.Revision(0)
 	for ctx.Err() == nil {
 		after = max(after, backing.Revision(read()))
-		if after == 0 {
-			backing.Pause(ctx, watchRetry)
+		if after == 0 || !h.follows() {
+			backing.Pause(ctx, roleLook)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
@@ -140,24 +96,9 @@
 	}
 }
 
-// pollEndpoints lists the endpoints again and again, with a watch in between.
-func (h *Host) pollEndpoints(ctx context.Context) {
-	seen := &reach{name: "store: endpoints", log: h.o.Log}
-	for ctx.Err() == nil {
-		err := h.listEndpoints(ctx)
-		if ctx.Err() == nil {
-			seen.note(err)
-		}
-		if err != nil {
-			h.endpoints.Failed()
-			backing.Pause(ctx, watchRetry)
-			continue
-		}
-		backing.Pause(ctx, h.poll(h.o.Settings.Drain))
-	}
-}
-
+// listEndpoints reads the whole registry and confirms it.
 func (h *Host) listEndpoints(ctx context.Context) error {
+	sent := h.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	items, revision, err := h.o.Ports.Store.List(ctx, h.o.Ports.Endpoints.Prefix)
@@ -172,12 +113,32 @@
 	}
 	h.changed(h.endpoints.Replace(time.Now(), int64(revision), listing))
 	h.listed.Store(int64(revision))
+	h.tell(h.registry.listing(items, revision))
+	h.registry.confirm(sent)
 	return nil
 }
 
+// tell notes changes of the registry that this host read itself, for its peers:
+// those that it believes.
+func (h *Host) tell(events []backing.Event) {
+	events = slices.DeleteFunc(events, h.lapsed)
+	if h.registry.read(time.Now(), events) > 0 {
+		h.group.Urge()
+	}
+}
+
+// lapsed says whether a change took an entry away in an outage.
+func (h *Host) lapsed(ev backing.Event) bool {
+	id, ok := h.o.Ports.Endpoints.ID(ev.Key)
+	return ev.Deleted && ok && h.endpoints.Lapsed(id)
+}
+
 // watchEndpoints takes changes of endpoints as they happen.
 func (h *Host) watchEndpoints(ctx context.Context) {
-	h.watch(ctx, h.o.Ports.Endpoints.Prefix, h.listed.Load, h.takeEndpoints)
+	h.watch(ctx, h.o.Ports.Endpoints.Prefix, h.listed.Load, func(events []backing.Event) {
+		h.takeEndpoints(events)
+		h.tell(events)
+	})
 }
 
 // takeEndpoints takes changes one by one: an entry may be written and removed
@@ -196,6 +157,23 @@
 	}
 }
 
+// settleEndpoints takes out what lapsed in an outage and did not come back.
+func (h *Host) settleEndpoints(ctx context.Context) {
+	for backing.Pause(ctx, roleLook) {
+		h.settle(time.Now())
+	}
+}
+
+func (h *Host) settle(now time.Time) {
+	c := h.endpoints.Settle(now)
+	h.changed(c)
+	var events []backing.Event
+	for _, e := range c.Left {
+		events = append(events, removal(h.o.Ports.Endpoints.Prefix+e.ID, backing.Revision(h.listed.Load())))
+	}
+	h.tell(events)
+}
+
 func (h *Host) decodeEndpoint(kv backing.KeyValue) (*endpoint.Endpoint, bool) {
 	e, err := h.o.Ports.Endpoints.Decode(kv)
 	if err == nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -57,16 +57,21 @@
 	inc       string
 	catalog   *catalog.Holder
 	endpoints *endpoint.Set
+	registry  *registry
+	configs   *reader
+	listings  *reader
 	tracker   *placement.Tracker
 	limiter   *limit.Limiter
 	counter   *duty.Counter
 	truetime  *truetime.Clock
 	directory *peer.Directory
 	group     *peer.Group
-	leases    *lease.Set
-	holder    *duty.Holder
-	gateway   *gateway.Gateway
-	draining  atomic.Bool
+	// audible returns the peers that this host hears.
+	audible  func() []string
+	leases   *lease.Set
+	holder   *duty.Holder
+	gateway  *gateway.Gateway
+	draining atomic.Bool
 	// ends is when the process must have ended, once it drains.
 	ends atomic.Pointer[time.Time]
 	// listed is the store's revision of the last listing of endpoints.
@@ -78,6 +83,8 @@
 	// leader is the host that last said to have the duties, and when.
 	leader   string
 	leaderAt time.Time
+	// sighted is what each peer last said to know of the store.
+	sighted map[string]peer.Sights
 	// ordered is until when engines that this host ordered change their stage.
 	ordered map[string]time.Time
 }
@@ -86,9 +93,12 @@
 func New(o Options) *Host {
 	o.Settings = o.Settings.withDefaults()
 	s := o.Settings
-	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision), ordered: make(map[string]time.Time)}
+	h := &Host{o: o, begun: time.Now(), inc: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), foreign: make(map[string]backing.Revision), ordered: make(map[string]time.Time), sighted: make(map[string]peer.Sights)}
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
 	h.endpoints = endpoint.NewSet(s.Returned)
+	h.registry = newRegistry(h.clock)
+	h.configs = newReader("store: configuration", s.ConfigApply, h.catalog.Age, h.readConfig, func() {})
+	h.listings = newReader("store: endpoints", s.Drain, h.registry.age, h.listEndpoints, h.endpoints.Failed)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
 	o.Registry.NewGauge("placement_tokens_per_ms", func() any {
 		prefill, decode := h.tracker.Rates()
@@ -98,7 +108,14 @@
 	h.counter = duty.NewCounter(s.UsageWindow, h.truetime.Now)
 	self := peer.Entry{Host: s.Name, Address: s.Peers, Domain: s.Domain, Incarnation: h.inc}
 	h.directory = peer.NewDirectory(self, o.Ports.Store, o.Log)
-	h.group = peer.NewGroup(peer.Options{Directory: h.directory, Make: h.snapshot, News: h.news, Take: h.hear, Told: h.told, Gone: h.gone, Log: o.Log})
+	h.group = peer.NewGroup(peer.Options{
+		Directory: h.directory, Clock: h.clock, Make: h.snapshot, News: h.news, Look: h.sights,
+		Take: h.hear, Answered: h.vouched, Told: h.told, Gone: h.gone, Log: o.Log,
+	})
+	h.audible = func() []string {
+		heard, _ := h.group.Audible()
+		return heard
+	}
 	h.limiter = limit.New(h.begun, limit.Settings{
 		Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack, Full: s.FirstStart,
 	}, h.group)
@@ -135,6 +152,9 @@
 func (h *Host) told(host string, s *peer.Snapshot) { h.limiter.Told(host, s.Spent) }
 
 func (h *Host) gone(host string) {
+	h.mu.Lock()
+	delete(h.sighted, host)
+	h.mu.Unlock()
 	h.tracker.DropPeer(host)
 	h.limiter.Gone(host)
 }
@@ -189,7 +209,10 @@
 func (h *Host) start(ctx, stop context.Context) (wait func()) {
 	var all sync.WaitGroup
 	saver := &duty.Saver{Leads: h.leads, Covered: h.covered, Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
-	for _, run := range []loop{h.pollConfig, h.watchConfig, h.pollEndpoints, h.watchEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
+	for _, r := range []*reader{h.configs, h.listings} {
+		all.Go(func() { r.run(ctx, h.follows, h.o.Log) })
+	}
+	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.settleEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
 		all.Go(func() { run(ctx) })
 	}
 	all.Go(func() {
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -25,6 +25,7 @@
 // news adds what a peer has not been told.
 func (h *Host) news(out *peer.Snapshot, told peer.Mark) peer.Mark {
 	out.Placed, told.Placed = h.tracker.PlacedSince(told.Placed)
+	out.Changes, told.Changes = h.registry.since(told.Changes)
 	if now := time.Now(); now.Sub(told.Usage) >= usageEvery {
 		out.Usage, told.Usage = h.counter.Own(), now
 	}
@@ -37,6 +38,7 @@
 	now := time.Now()
 	h.tracker.PeerPlaced(now, s.Placed)
 	h.counter.Peer(s.Incarnation, s.Usage)
+	h.hearChanges(now, s.Changes)
 	if !newer {
 		return
 	}
@@ -44,6 +46,7 @@
 	h.limiter.Peer(now, s.Host, s.Incarnation, s.Uptime > now.Sub(h.begun).Milliseconds(), s.Spent)
 	h.tracker.Switching(now, s.Switching)
 	h.truetime.Peer(s.Host, time.UnixMilli(s.Wall))
+	h.hearSights(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
@@ -99,6 +102,5 @@
 	if leader == "" || !fresh || h.draining.Load() {
 		return false
 	}
-	heard, _ := h.group.Audible()
-	return slices.Contains(heard, leader)
+	return slices.Contains(h.audible(), leader)
 }
--- a/internal/lease/clock.go
+++ b/internal/lease/clock.go
@@ -18,6 +18,11 @@
 	return max(i.Monotonic.Sub(earlier.Monotonic), i.Boot-earlier.Boot)
 }
 
+// Add returns the instant that much later, or earlier for a negative duration.
+func (i Instant) Add(d time.Duration) Instant {
+	return Instant{Monotonic: i.Monotonic.Add(d), Boot: i.Boot + d}
+}
+
 // Clock reads the time of a host.
 type Clock interface {
 	Now() Instant
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -25,7 +25,7 @@
 	// watchWait bounds one watch of the directory, watchSpacing is the pause
 	// after each, which bounds the calls when many hosts come and go.
 	watchWait    = 20 * time.Second
-	watchSpacing = 200 * time.Millisecond
+	watchSpacing = time.Second
 	// storeTimeout bounds one call, storeRetry is the pause after a failure.
 	storeTimeout = time.Second
 	storeRetry   = 500 * time.Millisecond
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
@@ -44,6 +45,12 @@
 	// Take handles a peer's snapshot. Its state is newer than what was taken
 	// of it before, or it is not and only the news count.
 	Take func(in *Snapshot, newer bool)
+	// Look returns what this host knows of the store at this moment.
+	Look func() Sights
+	// Clock and Answered: a peer answered an exchange that was begun at a
+	// moment, so what it knows of the store is no older than it says, from there.
+	Clock    lease.Clock
+	Answered func(in *Snapshot, begun lease.Instant)
 	// Told is called when a peer has taken a snapshot of this host.
 	Told func(peer string, s *Snapshot)
 	// Gone is told of peers that left the directory.
@@ -89,7 +96,9 @@
 func (g *Group) Serve(ctx context.Context, l net.Listener) error {
 	return serve(ctx, l, func(in *Snapshot) *Snapshot {
 		g.take(in)
-		return g.state(stateAge)
+		out := *g.state(stateAge)
+		out.Sights = g.o.Look()
+		return &out
 	})
 }
 
@@ -175,6 +184,8 @@
 	for {
 		out := *g.state(age)
 		mark := g.o.News(&out, told)
+		out.Sights = g.o.Look()
+		begun := g.o.Clock.Now()
 		in, err := l.exchange(ctx, &out)
 		switch {
 		case ctx.Err() != nil:
@@ -190,6 +201,7 @@
 			told = mark
 			g.o.Told(e.Host, &out)
 			g.take(in)
+			g.o.Answered(in, begun)
 		}
 		if !backing.Pause(ctx, urgeEvery) {
 			return
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/standin/kv"
 )
@@ -29,6 +30,8 @@
 	gone  map[string]bool
 	// placed counts the dispatches that were heard, by engine.
 	placed map[string]int
+	// sights is what each peer said to know of the store in its last answer.
+	sights map[string]Sights
 	// dispatches are this host's; they do not change.
 	dispatches []placement.Placed
 }
@@ -39,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &member{listener: l, heard: make(map[string]int64), told: make(map[string]bool), gone: make(map[string]bool), placed: make(map[string]int)}
+	m := &member{listener: l, heard: make(map[string]int64), told: make(map[string]bool), gone: make(map[string]bool), placed: make(map[string]int), sights: make(map[string]Sights)}
 	for i := range 40 {
 		m.dispatches = append(m.dispatches, placement.Placed{Engine: name + strconv.Itoa(i)})
 	}
@@ -52,6 +55,8 @@
 			out.Placed = m.dispatches[told.Placed:]
 			return Mark{Placed: int64(len(m.dispatches))}
 		},
+		Clock: lease.SystemClock{}, Look: func() Sights { return Sights{Config: Sight{Version: 3, Age: 5}} },
+		Answered: func(s *Snapshot, _ lease.Instant) { m.note(func() { m.sights[s.Host] = s.Sights }) },
 		Take: func(s *Snapshot, newer bool) {
 			m.note(func() {
 				if newer {
@@ -108,6 +113,7 @@
 	until(t, a.is(func() bool { return a.heard["b"] == 7 && a.heard["c"] == 7 && a.told["b"] && a.told["c"] }))
 	until(t, c.is(func() bool { return c.heard["a"] == 7 && c.heard["b"] == 7 }))
 	until(t, func() bool { heard, silent := b.group.Audible(); return len(heard) == 2 && len(silent) == 0 })
+	until(t, a.is(func() bool { return a.sights["b"].Config == Sight{Version: 3, Age: 5} }))
 	// One that leaves takes its entry away, and the others forget it.
 	c.stop()
 	until(t, a.is(func() bool { return a.gone["c"] }))
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -32,15 +32,47 @@
 	Leads    bool `json:"leads,omitempty"`
 	Draining bool `json:"draining,omitempty"`
 
-	// News that peers may hear twice: the latest dispatches, and usage counts
-	// by window and workspace.
-	Placed []placement.Placed         `json:"placed,omitempty"`
-	Usage  map[int64]map[string]int64 `json:"usage,omitempty"`
+	// Sights are what the host knows of the store at the moment it says so.
+	Sights Sights `json:"sights"`
+
+	// News that peers may hear twice: the latest dispatches, changes of the
+	// registry of endpoints, and usage counts by window and workspace.
+	Placed  []placement.Placed         `json:"placed,omitempty"`
+	Changes []Change                   `json:"changes,omitempty"`
+	Usage   map[int64]map[string]int64 `json:"usage,omitempty"`
+}
+
+// Change is a change of one entry of the registry, as it lies in the store.
+type Change struct {
+	Key      string `json:"k"`
+	Value    []byte `json:"v,omitempty"`
+	Revision int64  `json:"r"`
+	Deleted  bool   `json:"d,omitempty"`
+}
+
+// Sight is a version of something in the store and how long ago a read that
+// cannot be stale found it.
+type Sight struct {
+	Version uint64 `json:"v"`
+	// Age is in ms, rounded up; negative when no read has found the version.
+	Age int64 `json:"a"`
+}
+
+// Sights is what a host knows of the store.
+type Sights struct {
+	// Follows says that the host reads the store more often than others, and
+	// that it can.
+	Follows bool `json:"f,omitempty"`
+	// Config is the configuration's revision, Endpoints stands for the
+	// registry's entries.
+	Config    Sight `json:"c"`
+	Endpoints Sight `json:"e"`
 }
 
 // Mark is how much of a host's news a peer has been told.
 type Mark struct {
-	// Placed counts dispatches, Usage is when counts were last told.
-	Placed int64
-	Usage  time.Time
+	// Placed counts dispatches and Changes those of the registry; Usage is when
+	// counts were last told.
+	Placed, Changes int64
+	Usage           time.Time
 }
