gateway, host, lease: silent prefills are asked for elsewhere; fewer calls of idle hosts

A prefill generates nothing, so it may be asked for again. Of what is left of the calls to the store, a third of the renewals kept leases of hosts that hold nothing; followers read as often as each other; and every host tried to take the duties at a start.

Change: a prefill is given up after 0.6 s and twice its predicted time, its engine avoided, and another asked within the budget. A lease without keys is left to lapse; hosts that follow the store take the duties while nobody has them; the second follower reads a little later than the first.

--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -35,7 +35,7 @@
 	sends []Dispatch
 	// send answers a send by its number, from 1.
 	send    func(n int, ctx context.Context, d *Dispatch) (*Reply, error)
-	prefill func(d *Dispatch) (Prefilled, error)
+	prefill func(ctx context.Context, d *Dispatch) (Prefilled, error)
 }
 
 type fakeQuota struct {
@@ -83,8 +83,8 @@
 	return s.send(n, ctx, d)
 }
 
-func (s *site) Prefill(_ context.Context, _ *Call, d *Dispatch) (Prefilled, error) {
-	return s.prefill(d)
+func (s *site) Prefill(ctx context.Context, _ *Call, d *Dispatch) (Prefilled, error) {
+	return s.prefill(ctx, d)
 }
 
 func (s *site) Release(context.Context, *endpoint.Endpoint, Prefilled) error { return nil }
@@ -93,7 +93,7 @@
 	s := &site{t: t, quota: &fakeQuota{}}
 	s.holder = catalog.NewHolder(lease.SystemClock{}, time.Minute)
 	s.endpoints = endpoint.NewSet(time.Second)
-	s.prefill = func(*Dispatch) (Prefilled, error) { return Prefilled{Source: "cache"}, nil }
+	s.prefill = func(context.Context, *Dispatch) (Prefilled, error) { return Prefilled{Source: "cache"}, nil }
 	s.gateway = New(Options{
 		Ingress: testIngress{}, Sender: s, Catalog: s.holder, Endpoints: s.endpoints,
 		Tracker: placement.NewTracker(placement.DefaultCosts()), Quota: s.quota, Usage: &s.usage,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,6 +111,14 @@
 	}
 }
 
+const (
+	// A prefill is given up after prefillFloor and prefillFactor times the
+	// predicted time to the first event: by then its answer is lost more often
+	// than late, and another engine can still read the prompt in time.
+	prefillFloor  = 600 * time.Millisecond
+	prefillFactor = 2
+)
+
 // prefill has the prompt read at the plan's prefill engine.
 func (q *request) prefill(ctx context.Context, plan *placement.Plan, job *placement.Job) (Prefilled, error) {
 	if q.prefills > 0 && !q.g.o.Budget.Spend(time.Now(), q.service.Name) {
@@ -121,7 +129,9 @@
 	d := q.dispatch(plan.Prefill)
 	d.Prefill, d.Fetch = true, plan.Fetch
 	sent := time.Now()
-	prefilled, err := q.g.o.Sender.Prefill(ctx, q.call, d)
+	patient, cancel := context.WithTimeout(ctx, prefillFloor+time.Duration(prefillFactor*float64(plan.FirstEvent)))
+	defer cancel()
+	prefilled, err := q.g.o.Sender.Prefill(patient, q.call, d)
 	if err != nil {
 		failed := prefillFailure(err)
 		q.g.o.Metrics.Sends.Add(failed.Code, 1)
--- a/internal/host/duties.go
+++ b/internal/host/duties.go
@@ -26,15 +26,17 @@
 	})
 }
 
-// preferred is the host that should have the duties: the one that has them.
+// preferred is the host that should have the duties: the one that has them, and
+// while nobody does, the ones that follow the store.
 func (h *Host) preferred(string) (string, bool) {
 	if _, _, ok := h.leases.Held(duty.Piece); ok {
 		return h.o.Settings.Name, true
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leader != "" && time.Since(h.leaderAt) < leaderLife {
-		return h.leader, true
+	leader, fresh := h.leader, time.Since(h.leaderAt) < leaderLife
+	h.mu.Unlock()
+	if leader != "" && fresh {
+		return leader, true
 	}
-	return h.o.Settings.Name, !h.draining.Load()
+	return h.o.Settings.Name, h.follows() && !h.draining.Load()
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -210,7 +210,7 @@
 	var all sync.WaitGroup
 	saver := &duty.Saver{Leads: h.leads, Covered: h.covered, Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
 	for _, r := range []*reader{h.configs, h.listings} {
-		all.Go(func() { r.run(ctx, h.follows, h.o.Log) })
+		all.Go(func() { r.run(ctx, h.before, h.o.Log) })
 	}
 	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.settleEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
 		all.Go(func() { run(ctx) })
--- a/internal/host/reader.go
+++ b/internal/host/reader.go
@@ -17,9 +17,10 @@
 	// it and read it often, and tell the others. One may be lost.
 	followers = 2
 	// followShare is the part of the time in which a change must be in force
-	// after which a follower reads its source again, pollShare the same for the
-	// other hosts: they read only what no peer has confirmed.
-	followShare, pollShare = 0.3, 0.65
+	// after which the first follower reads its source again, pollShare the same
+	// for hosts that do not follow. The others lie between, so that each reads
+	// only what those before it have not confirmed.
+	followShare, pollShare = 0.45, 0.65
 	// minPoll bounds the reads of deployments with short bounds.
 	minPoll = 500 * time.Millisecond
 	// readTimeout bounds one read, readRetry is the pause after a failed one,
@@ -64,11 +65,11 @@
 	}
 }
 
-// run reads until ctx ends; follows says whether this host follows the store.
-func (r *reader) run(ctx context.Context, follows func() bool, log *slog.Logger) {
+// run reads until ctx ends; before is the number of followers before this host.
+func (r *reader) run(ctx context.Context, before func() int, log *slog.Logger) {
 	seen := &reach{name: r.name, log: log}
 	for ctx.Err() == nil {
-		if !r.lost.Load() && !r.wait(ctx, follows()) {
+		if !r.lost.Load() && !r.wait(ctx, before()) {
 			continue
 		}
 		err := r.read(ctx)
@@ -90,9 +91,9 @@
 }
 
 // wait waits until a read may be due, and says whether it is.
-func (r *reader) wait(ctx context.Context, follows bool) bool {
+func (r *reader) wait(ctx context.Context, before int) bool {
 	age, known := r.age()
-	left := r.every(follows) - age
+	left := r.every(before) - age
 	if !known || left <= 0 {
 		return true
 	}
@@ -107,12 +108,10 @@
 	return false
 }
 
-// every is the age of a confirmation at which this host reads the source.
-func (r *reader) every(follows bool) time.Duration {
-	share := pollShare
-	if follows {
-		share = followShare
-	}
+// every is the age of a confirmation at which this host reads the source, with
+// so many followers before it.
+func (r *reader) every(before int) time.Duration {
+	share := followShare + (pollShare-followShare)*float64(min(before, followers))/followers
 	return max(minPoll, time.Duration(share*float64(r.bound)))
 }
 
--- a/internal/host/sights.go
+++ b/internal/host/sights.go
@@ -28,7 +28,11 @@
 
 // follows says whether this host is among those that follow the store for all:
 // fewer than followers of the peers that it hears come before it and do so.
-func (h *Host) follows() bool {
+func (h *Host) follows() bool { return h.before() < followers }
+
+// before is the number of peers that come before this host by name and follow
+// the store.
+func (h *Host) before() int {
 	heard := h.audible()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -38,7 +42,7 @@
 			before++
 		}
 	}
-	return before < followers
+	return before
 }
 
 // hearSights takes what a peer says to know of the store. It proves nothing, for
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -18,6 +18,11 @@
 	if id == 0 || before.Since(granted) < s.o.Settings.Renew {
 		return
 	}
+	if s.idle() {
+		// It holds no keys, and ends by itself.
+		s.forget(id)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.o.Settings.CallTimeout)
 	defer cancel()
 	s.stats.Calls.Add(1)
@@ -62,6 +67,13 @@
 	clear(s.unsure)
 }
 
+// idle says whether nothing is held or may be held under the lease.
+func (s *Set) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pieces) == 0 && len(s.unsure) == 0
+}
+
 // current returns a lease that can be used, granting one when there is none.
 func (s *Set) current(ctx context.Context) (backing.LeaseID, bool) {
 	s.mu.Lock()
--- a/internal/lease/set_test.go
+++ b/internal/lease/set_test.go
@@ -250,3 +250,28 @@
 	}
 	return n
 }
+
+// A host that holds nothing keeps no lease alive.
+func TestAnIdleHostRenewsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(2, "p")
+		s.await(t, func() bool { return len(s.holders("p")) == 1 })
+		play := func(ticks int) {
+			for n := range ticks {
+				s.tick(t.Context(), n)
+			}
+		}
+		play(40)
+		calls := make(map[string]int64)
+		for _, h := range s.hosts {
+			calls[h.name] = h.set.Stats().Calls.Load()
+		}
+		play(240)
+		for _, h := range s.hosts {
+			made := h.set.Stats().Calls.Load() - calls[h.name]
+			is.Equal(made > 0, len(h.set.Pieces()) > 0)
+		}
+		s.store.Close()
+	})
+}
