--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -146,7 +146,15 @@
 
 // reconcile starts and ends loops so that there is one for each other host.
 func (g *Group) reconcile(ctx context.Context) {
-	others := g.o.Directory.Others()
+	// Who is told may hold a lock that a caller of Audible or Urge holds too.
+	for _, name := range g.relink(ctx, g.o.Directory.Others()) {
+		g.o.Gone(name)
+		g.o.Log.Info("peer left", observe.FieldPeer, name)
+	}
+}
+
+// relink starts and ends loops, and returns the peers that are no longer there.
+func (g *Group) relink(ctx context.Context, others map[string]Entry) (gone []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for name, r := range g.links {
@@ -155,8 +163,7 @@
 			delete(g.links, name)
 			if _, stays := others[name]; !stays {
 				delete(g.heard, name)
-				g.o.Gone(name)
-				g.o.Log.Info("peer left", observe.FieldPeer, name)
+				gone = append(gone, name)
 			}
 		}
 	}
@@ -170,6 +177,7 @@
 		g.o.Log.Info("peer found", observe.FieldPeer, name, "address", e.Address)
 		go g.talk(linkCtx, e, urge)
 	}
+	return gone
 }
 
 // talk exchanges snapshots with one peer until ctx ends.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -159,6 +159,30 @@
 	g.state(0)
 }
 
+// Who hears that a peer has left may ask who is audible, or wait for one who asks.
+func TestALeavingPeerIsToldWithoutALock(t *testing.T) {
+	store := kv.New(kv.Options{})
+	defer store.Close()
+	var g *Group
+	asked := 0
+	g = NewGroup(Options{
+		Directory: NewDirectory(Entry{Host: "a"}, store.Client("a"), slog.New(slog.DiscardHandler)),
+		Gone: func(string) {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				g.Audible()
+			}()
+			<-done
+			asked++
+		},
+		Log: slog.New(slog.DiscardHandler),
+	})
+	g.links["b"] = &runner{entry: Entry{Host: "b"}, stop: func() {}}
+	g.reconcile(t.Context())
+	is.New(t).Equal(asked, 1)
+}
+
 // A host that listens no more, but whose entry is there, is not heard.
 func TestASilentPeerIsNotAudible(t *testing.T) {
 	store := kv.New(kv.Options{})
