placement: parts that later prompts pushed out of a cache are not counted on

A host believed for 60 s that an engine holds what it has read, but an engine's cache turns over in 7 to 15 s: work was sent to an engine that had dropped the part, and the one that still held it was not asked.

Change: each dispatch says what it adds to its engine's cache, for this host and its peers. A part counts as held while no more has been added since its last use than the memory beside requests in flight holds (0.85 of it). Runs whose prompt was read elsewhere are told to peers too.

Test: a part pushed out by this host's or a peer's prompts is read again or fetched; one in use stays.

--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -35,15 +35,24 @@
 		isRun: p.Prefill == nil, idle: busy.Tokens == 0 && p.Fetch == "",
 	}
 	g.jobs[f] = struct{}{}
-	if shared := job.sharedHashes(); len(shared) > 0 {
-		for _, h := range shared {
-			g.hold(now, now.Add(p.FirstEvent), h)
-		}
-		t.place(Placed{Engine: e.ID, Parts: shared, ReadIn: p.FirstEvent})
+	tokens := p.Read
+	if f.isRun {
+		tokens += job.Output
 	}
+	t.fill(now, g, Placed{Engine: e.ID, Parts: job.sharedHashes(), ReadIn: p.FirstEvent, Tokens: int64(tokens)})
 	return f
 }
 
+// fill notes what a dispatch adds to an engine's cache, here and for peers. The
+// caller holds mu.
+func (t *Tracker) fill(now time.Time, g *engine, p Placed) {
+	g.added += p.Tokens
+	for _, h := range p.Parts {
+		g.hold(now, now.Add(p.ReadIn), h)
+	}
+	t.place(p)
+}
+
 // maxPlaced bounds the dispatches kept for peers: those of a few seconds.
 const maxPlaced = 256
 
@@ -75,9 +84,8 @@
 	g := t.engine(e)
 	f := &Flight{tracker: t, engine: g, stage: e.Stage, begun: now, memory: job.Prompt + job.Output, isRun: true, readDone: true}
 	g.jobs[f] = struct{}{}
-	for _, h := range job.sharedHashes() {
-		g.hold(now, now, h)
-	}
+	held, _ := g.cached(now, job.Parts, 0)
+	t.fill(now, g, Placed{Engine: e.ID, Parts: job.sharedHashes(), Tokens: int64(max(0, job.Prompt-held) + job.Output)})
 	return f
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -117,6 +117,47 @@
 	is.Equal(now.Prefill.ID, "p0") // it queues behind the one that reads the part
 }
 
+// A part that was pushed out of an engine's cache by later prompts, of this host
+// or of a peer, is no longer counted on; one that is used stays.
+func TestAPartIsPushedOutByLaterPrompts(t *testing.T) {
+	for _, byPeer := range []bool{false, true} {
+		is := is.New(t)
+		tr := NewTracker(DefaultCosts())
+		engines := fleet(1, 1)
+		small := moves
+		small.Capacity = 100_000
+		plan := func() Plan {
+			p, ok := tr.Plan(start.Add(10*time.Second), engines, newJob(5000, 1000), small)
+			is.True(ok)
+			return p
+		}
+		other := &Job{Prompt: 20_000, Parts: []Part{{Hash: 90, Tokens: 10_000}, {Hash: 91, Tokens: 10_000}}}
+		push := func() {
+			if byPeer {
+				tr.PeerPlaced(start, []Placed{{Engine: "p0", Parts: []uint64{90}, Tokens: 20_000}})
+				return
+			}
+			tr.Begin(start, engines[0], &Plan{Prefill: engines[0], Run: engines[1], Read: 20_000}, other).Done()
+		}
+		first := plan()
+		tr.Begin(start, engines[0], &first, newJob(5000, 1000)).Done()
+		for range 3 {
+			push()
+		}
+		is.Equal(plan().Read, 1000)
+		again := plan()
+		tr.Begin(start, engines[0], &again, newJob(5000, 1000)).Done()
+		for range 3 {
+			push()
+		}
+		is.Equal(plan().Read, 1000) // used since
+		for range 2 {
+			push()
+		}
+		is.Equal(plan().Read, 6000)
+	}
+}
+
 func TestARejectingEngineIsLeftAloneForAWhile(t *testing.T) {
 	is := is.New(t)
 	tr := NewTracker(DefaultCosts())
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -23,7 +23,7 @@
 func (t *Tracker) Plan(now time.Time, engines []*endpoint.Endpoint, job *Job, m Memory) (Plan, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	views := t.views(now, engines, job)
+	views := t.views(now, engines, job, m)
 	var best Plan
 	bestScore := time.Duration(0)
 	found := false
@@ -60,7 +60,7 @@
 func (t *Tracker) Runner(now time.Time, engines []*endpoint.Endpoint, job *Job, m Memory, from *endpoint.Endpoint) (*endpoint.Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	views := t.views(now, engines, job)
+	views := t.views(now, engines, job, m)
 	source := view{e: from, g: t.engine(from)}
 	var best *view
 	var bestScore time.Duration
@@ -80,7 +80,7 @@
 	return best.e, true
 }
 
-func (t *Tracker) views(now time.Time, engines []*endpoint.Endpoint, job *Job) []view {
+func (t *Tracker) views(now time.Time, engines []*endpoint.Endpoint, job *Job, m Memory) []view {
 	views := make([]view, 0, len(engines))
 	usable := 0
 	for _, e := range engines {
@@ -88,9 +88,10 @@
 			continue
 		}
 		g := t.engine(e)
-		queued, fetchable := g.cached(now, job.Parts)
+		load := t.load(now, e.ID)
+		queued, fetchable := g.cached(now, job.Parts, m.room(load.Memory))
 		v := view{
-			e: e, g: g, load: t.load(now, e.ID), cached: min(queued, job.Prompt), fetchable: min(fetchable, job.Prompt),
+			e: e, g: g, load: load, cached: min(queued, job.Prompt), fetchable: min(fetchable, job.Prompt),
 			rate: t.rates[e.Stage].perMS, avoid: now.Before(g.avoid) || t.switching(now, e.ID),
 		}
 		if !v.avoid {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -54,6 +54,8 @@
 	Parts  []uint64 `json:"p"`
 	// ReadIn is the predicted time until they are read, in ns.
 	ReadIn time.Duration `json:"r"`
+	// Tokens is what the dispatch adds to the engine's cache.
+	Tokens int64 `json:"t,omitempty"`
 }
 
 // engine is what is known of one engine's start.
@@ -61,6 +63,9 @@
 	key   endpoint.Key
 	jobs  map[*Flight]struct{}
 	parts map[uint64]part
+	// added is the tokens that went into the cache since the start, as far as
+	// they are known.
+	added int64
 	// slow is the smoothed ratio of observed to predicted times, at least 1.
 	slow float64
 	// failures are consecutive failures; avoid is until when the engine is
@@ -164,6 +169,7 @@
 	defer t.mu.Unlock()
 	for _, p := range placed {
 		if g := t.engines[p.Engine]; g != nil {
+			g.added += p.Tokens
 			for _, h := range p.Parts {
 				g.hold(now, now.Add(p.ReadIn), h)
 			}
@@ -202,6 +208,8 @@
 type part struct {
 	// used is when it was last asked for, ready when it was or will be read.
 	used, ready time.Time
+	// added is what had gone into the cache when it was last asked for.
+	added int64
 }
 
 func (g *engine) hold(now, ready time.Time, hash uint64) {
@@ -218,16 +226,18 @@
 	if old, ok := g.parts[hash]; ok && old.ready.Before(ready) {
 		ready = old.ready
 	}
-	g.parts[hash] = part{used: now, ready: ready}
+	g.parts[hash] = part{used: now, ready: ready, added: g.added}
 }
 
 // cached is how many tokens from the prompt's start the engine holds by the
-// time it would begin with it, and how many another engine could fetch now.
-func (g *engine) cached(now time.Time, parts []Part) (queued, fetchable int) {
+// time it would begin with it, and how many another engine could fetch now. The
+// parts that were used last are held, as many as room, in tokens, allows; no
+// room means that it is not known.
+func (g *engine) cached(now time.Time, parts []Part, room int64) (queued, fetchable int) {
 	ready := true
 	for _, p := range parts {
 		held, ok := g.parts[p.Hash]
-		if !ok || now.Sub(held.used) > partLife {
+		if !ok || now.Sub(held.used) > partLife || room > 0 && g.added-held.added > room {
 			break
 		}
 		queued += p.Tokens
@@ -238,6 +248,19 @@
 	return queued, fetchable
 }
 
+// cacheShare is the part of an engine's memory, beside that of requests in
+// flight, that is believed to hold the parts used last: what peers have added
+// is heard of late.
+const cacheShare = 0.85
+
+// room is the tokens that an engine's cache holds.
+func (m Memory) room(inFlight int) int64 {
+	if m.Capacity <= 0 {
+		return 0
+	}
+	return max(1, int64(cacheShare*float64(m.Capacity))-int64(inFlight))
+}
+
 // rate is a learned reading speed.
 type rate struct{ perMS float64 }
 
