--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -59,7 +59,7 @@
 
 // watchConfig takes changes of the configuration as they happen.
 func (h *Host) watchConfig(ctx context.Context) {
-	h.watch(ctx, h.o.Ports.Config.Key, h.catalog.Revision, func(events []backing.Event) {
+	h.watch(ctx, h.o.Ports.Config.Key, h.configs, h.catalog.Revision, func(events []backing.Event) {
 		for _, ev := range events {
 			if ev.Key != h.o.Ports.Config.Key || ev.Deleted {
 				continue
@@ -74,7 +74,7 @@
 // watch takes changes of a prefix, from the revision that was read last on,
 // while this host follows the store. The reads find what a watch misses; after a
 // failed one it begins anew.
-func (h *Host) watch(ctx context.Context, prefix string, read func() int64, take func([]backing.Event)) {
+func (h *Host) watch(ctx context.Context, prefix string, source *reader, read func() int64, take func([]backing.Event)) {
 	after := backing.Revision(0)
 	for ctx.Err() == nil {
 		after = max(after, backing.Revision(read()))
@@ -87,6 +87,11 @@
 		cancel()
 		if err != nil {
 			after = 0
+			if errors.Is(err, backing.ErrCompacted) {
+				// What changed until the latest listing is found by a read.
+				after = backing.Revision(h.listed.Load())
+				source.Urge()
+			}
 			backing.Pause(ctx, watchRetry)
 			continue
 		}
@@ -135,7 +140,7 @@
 
 // watchEndpoints takes changes of endpoints as they happen.
 func (h *Host) watchEndpoints(ctx context.Context) {
-	h.watch(ctx, h.o.Ports.Endpoints.Prefix, h.listed.Load, func(events []backing.Event) {
+	h.watch(ctx, h.o.Ports.Endpoints.Prefix, h.listings, h.listed.Load, func(events []backing.Event) {
 		h.takeEndpoints(events)
 		h.tell(events)
 	})
--- a/internal/host/follow_test.go
+++ b/internal/host/follow_test.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"context"
 	"log/slog"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -92,3 +94,38 @@
 	h.counter.Began("w") // windows of no length would not divide
 	is.Equal(Settings{Grace: time.Second}.withDefaults().Grace, time.Second)
 }
+
+// forgetful is a store whose history begins at a revision.
+type forgetful struct {
+	backing.Store
+	begins backing.Revision
+	calls  []backing.Revision
+}
+
+func (s *forgetful) Watch(ctx context.Context, _ string, after backing.Revision, _ time.Duration) ([]backing.Event, backing.Revision, error) {
+	s.calls = append(s.calls, after)
+	if after < s.begins {
+		return nil, 0, backing.ErrCompacted
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A watch of a configuration that has not changed for longer than the store
+// remembers goes on from what was read last of all, and the configuration is
+// read once more.
+func TestAWatchGoesOnWhereTheHistoryBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := hostOf(nil)
+		store := &forgetful{begins: 100}
+		h.o.Ports.Store = store
+		is.NoErr(h.takeConfig(backing.KeyValue{Revision: 5, Value: []byte("7")}))
+		h.listed.Store(120)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		h.watchConfig(ctx)
+		is.Equal(store.calls, []backing.Revision{5, 120})
+		is.Equal(len(h.configs.urge), 1)
+	})
+}
