--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -28,7 +28,7 @@
 	recordTTL = 2 * time.Minute
 	// saveEvery is the time between writes of a host's counts: what is lost
 	// when all hosts die at once.
-	saveEvery = 400 * time.Millisecond
+	saveEvery = 200 * time.Millisecond
 	// callTimeout bounds one call of the store or the platform's API.
 	callTimeout = time.Second
 )
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -20,7 +20,7 @@
 }
 
 // usageEvery is the time after which a peer is told of usage counts again.
-const usageEvery = 400 * time.Millisecond
+const usageEvery = 150 * time.Millisecond
 
 // news adds what a peer has not been told.
 func (h *Host) news(out *peer.Snapshot, told peer.Mark) peer.Mark {
