--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -56,7 +56,8 @@
 	if verdict.Of(err) != verdict.NotRun && (!q.repeatable() || q.runs >= q.route.Attempts) {
 		return false
 	}
-	return q.g.o.Budget.Spend(time.Now(), q.service.Name)
+	// A request that only had its prompt read is sent for the first time.
+	return q.sends == 0 || q.g.o.Budget.Spend(time.Now(), q.service.Name)
 }
 
 // repeatable says whether the request may run more than once.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -56,6 +56,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newSite(t).configure()
+		// No repeat is allowed; the request itself has been sent to nobody yet.
+		s.gateway.o.Budget = NewBudget(time.Now(), 0, 10*time.Second, func() float64 { return 0 })
 		silent := 0
 		s.prefill = func(ctx context.Context, _ *Dispatch) (Prefilled, error) {
 			silent++
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -74,7 +74,7 @@
 // watch takes changes of a prefix, from the revision that was read last on,
 // while this host follows the store. The reads find what a watch misses; after a
 // failed one it begins anew.
-func (h *Host) watch(ctx context.Context, prefix string, source *reader, read func() int64, take func([]backing.Event)) {
+func (h *Host) watch(ctx context.Context, prefix string, source *poller, read func() int64, take func([]backing.Event)) {
 	after := backing.Revision(0)
 	for ctx.Err() == nil {
 		after = max(after, backing.Revision(read()))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -58,8 +58,8 @@
 	catalog   *catalog.Holder
 	endpoints *endpoint.Set
 	registry  *registry
-	configs   *reader
-	listings  *reader
+	configs   *poller
+	listings  *poller
 	tracker   *placement.Tracker
 	limiter   *limit.Limiter
 	counter   *duty.Counter
@@ -97,8 +97,8 @@
 	h.catalog = catalog.NewHolder(h.clock, s.Revoke-freshMargin)
 	h.endpoints = endpoint.NewSet(s.Returned)
 	h.registry = newRegistry(h.clock)
-	h.configs = newReader("store: configuration", s.ConfigApply, h.catalog.Age, h.readConfig, func() {})
-	h.listings = newReader("store: endpoints", s.Drain, h.registry.age, h.listEndpoints, h.endpoints.Failed)
+	h.configs = newPoller("store: configuration", s.ConfigApply, h.catalog.Age, h.readConfig, func() {})
+	h.listings = newPoller("store: endpoints", s.Drain, h.registry.age, h.listEndpoints, h.endpoints.Failed)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
 	o.Registry.NewGauge("placement_tokens_per_ms", func() any {
 		prefill, decode := h.tracker.Rates()
@@ -209,7 +209,7 @@
 func (h *Host) start(ctx, stop context.Context) (wait func()) {
 	var all sync.WaitGroup
 	saver := &duty.Saver{Leads: h.leads, Covered: h.covered, Counter: h.counter, Store: h.o.Ports.Store, Incarnation: h.inc, Log: h.o.Log}
-	for _, r := range []*reader{h.configs, h.listings} {
+	for _, r := range []*poller{h.configs, h.listings} {
 		all.Go(func() { r.run(ctx, h.before, h.o.Log) })
 	}
 	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.settleEndpoints, h.directory.Run, h.group.Run, saver.Run, h.sweep} {
--- a/internal/host/reader.go
+++ b/internal/host/poller.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/backing"
-	"github.com/acacialink/acacialink/internal/observe"
 )
 
 const (
@@ -35,9 +34,9 @@
 // errNothingYet means that what is read has not been written yet.
 var errNothingYet = errors.New("nothing written yet")
 
-// reader keeps one source in the store confirmed: it reads it whenever neither
+// poller keeps one source in the store confirmed: it reads it whenever neither
 // it nor a peer has read it for too long.
-type reader struct {
+type poller struct {
 	// name is the dependency's name in logs, bound the time in which a change of
 	// the source must be in force.
 	name  string
@@ -53,12 +52,12 @@
 	lost atomic.Bool
 }
 
-func newReader(name string, bound time.Duration, age func() (time.Duration, bool), read func(context.Context) error, failed func()) *reader {
-	return &reader{name: name, bound: bound, age: age, read: read, failed: failed, urge: make(chan struct{}, 1)}
+func newPoller(name string, bound time.Duration, age func() (time.Duration, bool), read func(context.Context) error, failed func()) *poller {
+	return &poller{name: name, bound: bound, age: age, read: read, failed: failed, urge: make(chan struct{}, 1)}
 }
 
 // Urge asks for a read at once.
-func (r *reader) Urge() {
+func (r *poller) Urge() {
 	select {
 	case r.urge <- struct{}{}:
 	default: // asked for already
@@ -66,7 +65,7 @@
 }
 
 // run reads until ctx ends; before is the number of followers before this host.
-func (r *reader) run(ctx context.Context, before func() int, log *slog.Logger) {
+func (r *poller) run(ctx context.Context, before func() int, log *slog.Logger) {
 	seen := &reach{name: r.name, log: log}
 	for ctx.Err() == nil {
 		if !r.lost.Load() && !r.wait(ctx, before()) {
@@ -91,7 +90,7 @@
 }
 
 // wait waits until a read may be due, and says whether it is.
-func (r *reader) wait(ctx context.Context, before int) bool {
+func (r *poller) wait(ctx context.Context, before int) bool {
 	age, known := r.age()
 	left := r.every(before) - age
 	if !known || left <= 0 {
@@ -110,25 +109,7 @@
 
 // every is the age of a confirmation at which this host reads the source, with
 // so many followers before it.
-func (r *reader) every(before int) time.Duration {
+func (r *poller) every(before int) time.Duration {
 	share := followShare + (pollShare-followShare)*float64(min(before, followers))/followers
 	return max(minPoll, time.Duration(share*float64(r.bound)))
 }
-
-// reach logs the loss and the return of one dependency.
-type reach struct {
-	name string
-	log  *slog.Logger
-	lost bool
-}
-
-func (r *reach) note(err error) {
-	switch {
-	case err != nil && !r.lost:
-		r.lost = true
-		r.log.Warn("dependency lost", "dependency", r.name, observe.FieldError, err)
-	case err == nil && r.lost:
-		r.lost = false
-		r.log.Info("dependency regained", "dependency", r.name)
-	}
-}
