--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -64,6 +64,9 @@
 	replica      *Replica
 	stop         context.CancelFunc
 	pausedUntil  time.Time
+	// pauseInQuery is the length of a pause that begins once the answer to the
+	// host's next query is in flight; 0 for none.
+	pauseInQuery time.Duration
 	// highestRevision is the highest revision that checkInvariants observed
 	// since the last restart.
 	highestRevision resource.Revision
@@ -149,15 +152,37 @@
 	host.pausedUntil = time.Now().Add(d)
 }
 
+// pauseInQuery pauses the host for d once the answer to its next query has been
+// computed and before it arrives.
+func (f *fleet) pauseInQuery(host *testHost, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	host.pauseInQuery = d
+}
+
+// answerInFlight begins the pause that pauseInQuery requested, if any.
+func (f *fleet) answerInFlight(host *testHost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if host.pauseInQuery > 0 {
+		host.pausedUntil = time.Now().Add(host.pauseInQuery)
+		host.pauseInQuery = 0
+	}
+}
+
 // waitPause blocks while the host is paused. A paused process does not observe
 // timeouts; it continues where it was stopped.
 func (f *fleet) waitPause(host *testHost) {
 	f.mu.Lock()
 	d := time.Until(host.pausedUntil)
 	f.mu.Unlock()
-	if d > 0 {
-		time.Sleep(d)
+	if d <= 0 {
+		return
 	}
+	time.Sleep(d)
+	// What a host that continues does first may be corrected by its next answer
+	// before the next check of watchInvariants.
+	time.AfterFunc(time.Nanosecond, func() { f.checkInvariants(time.Now()) })
 }
 
 func (f *fleet) hostNamed(name string) *testHost {
@@ -253,6 +278,7 @@
 	}
 	answer := &wire.PeerMessage{From: peer, Config: r.HandleExchange(proto.Clone(m).(*wire.PeerMessage).GetConfig())}
 	p.fleet.countMessage(peer, answer)
+	p.fleet.answerInFlight(p.host)
 	time.Sleep(p.fleet.delay)
 	if p.fleet.reachableReplica(p.host, peer) == nil {
 		<-ctx.Done()
@@ -270,15 +296,20 @@
 
 func (s *hostStore) Get(ctx context.Context, key string) (backing.KeyValue, error) {
 	defer s.fleet.waitPause(s.host)
+	time.Sleep(s.fleet.delay)
 	return s.Store.Get(ctx, key)
 }
 
 func (s *hostStore) Watch(ctx context.Context, prefix string, after backing.Revision, wait time.Duration) ([]backing.Event, backing.Revision, error) {
 	defer s.fleet.waitPause(s.host)
-	return s.Store.Watch(ctx, prefix, after, wait)
+	time.Sleep(s.fleet.delay)
+	events, next, err := s.Store.Watch(ctx, prefix, after, wait)
+	s.fleet.answerInFlight(s.host)
+	return events, next, err
 }
 
 func (s *hostStore) CompareAndSwap(ctx context.Context, key string, expect backing.Revision, value []byte, lease backing.LeaseID) (backing.Revision, error) {
 	defer s.fleet.waitPause(s.host)
+	time.Sleep(s.fleet.delay)
 	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 }
--- a/internal/snapshot/freshness_test.go
+++ b/internal/snapshot/freshness_test.go
@@ -89,6 +89,8 @@
 		}
 	case "pause":
 		f.pause(host, ev.wait*4)
+	case "pause in query":
+		f.pauseInQuery(host, ev.wait*4)
 	case "unlist":
 		f.setUnlisted(host, true)
 	case "list":
@@ -206,14 +208,14 @@
 	}
 }
 
-// pauseDuringQuery returns events that pause each host except the first in turn
-// while changes are made.
+// pauseDuringQuery returns events that pause each host except the first in turn,
+// each with the answer to one of its queries in flight, while changes are made.
 func pauseDuringQuery() []event {
 	var events []event
 	for range 8 {
 		for host := 1; host < 5; host++ {
 			events = append(events,
-				event{kind: "pause", host: host, wait: 1300 * time.Millisecond},
+				event{kind: "pause in query", host: host, wait: 1300 * time.Millisecond},
 				event{kind: "change", host: 0, wait: 4 * time.Second})
 		}
 	}
