rpc, agent: answers are sent before a drain ends, sessions known before their state

TestAgentDrainLetsStreamsFinish: a request left the agent's in-flight count when its last message was queued, so a drained process could exit before it was written. Now the count falls when the connection has taken the whole answer, or the session is over; refusals during the drain count too.

TestServerForwardsNoAPIKeyToService: the session did not close. A link received the agent's first state, which makes the endpoint ready for calls, before it had stored its session, so the first call found none and was refused as session_closed. Now a session receives nothing until the link has it.

--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -15,10 +15,14 @@
 func (a *Agent) Handle(ctx context.Context, m *wire.EntryMessage, r *rpc.Responder) {
 	if refusal := a.begin(); refusal != "" {
 		a.stats.Refused.Add(1)
+		a.inFlight.Add(1) // until the refusal is sent, as for an answer
 		r.Fail(verdict.New(verdict.NotRun, 503, refusal, "the endpoint takes no new work"))
+		r.AfterSent(a.end)
 		return
 	}
-	defer a.end()
+	// A request is in flight until the connection has taken its whole answer, so
+	// that a process that exits after Drain cuts no answer off.
+	defer func() { r.AfterSent(a.end) }()
 	switch body := m.Body.(type) {
 	case *wire.EntryMessage_Generate:
 		a.generate(ctx, m.RequestId, body.Generate, r)
--- a/internal/rpc/agent_session.go
+++ b/internal/rpc/agent_session.go
@@ -40,6 +40,10 @@
 	return r.out.put(m, nil)
 }
 
+// AfterSent calls notify once all queued messages of the answer have been written
+// to the connection, or the session is over. notify must not block.
+func (r *Responder) AfterSent(notify func()) { r.out.afterSent(notify) }
+
 // Fail ends the answer with an error.
 func (r *Responder) Fail(err error) {
 	failure := verdict.As(err)
@@ -182,6 +186,7 @@
 				closeConn(s.stream.Context())
 				return
 			}
+			s.out.markSent()
 		}
 		stateDue = false
 		select {
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -56,11 +56,14 @@
 	if err != nil {
 		return false
 	}
-	session, err := OpenSession(conn, l.opts, l.stats, l.setState)
+	session, err := prepareSession(conn, l.opts, l.stats, l.setState)
 	if err != nil {
 		return false
 	}
+	// A state tells others that the endpoint can be called, so the session must
+	// be known before the first one arrives.
 	l.setSession(session)
+	session.start()
 	select {
 	case <-session.Done():
 	case <-ctx.Done():
--- a/internal/rpc/outbox.go
+++ b/internal/rpc/outbox.go
@@ -16,6 +16,17 @@
 	items       []outboxItem[M]
 	queuedBytes int
 	closed      bool
+	// accepted counts the messages that put accepted. taken counts those that
+	// take returned, and sent those of them that have been written.
+	accepted, taken, sent uint64
+	// waiters are called once sent has reached their position, in that order.
+	waiters []outboxWaiter
+}
+
+// outboxWaiter is called once the messages up to its position are sent.
+type outboxWaiter struct {
+	position uint64
+	notify   func()
 }
 
 type outboxItem[M proto.Message] struct {
@@ -42,6 +53,7 @@
 	}
 	o.items = append(o.items, outboxItem[M]{message: m, bytes: size, onTake: onTake})
 	o.queuedBytes += size
+	o.accepted++
 	o.mu.Unlock()
 	o.signal()
 	return true
@@ -76,6 +88,7 @@
 		o.items[i] = outboxItem[M]{}
 	}
 	o.items = o.items[len(batch):]
+	o.taken += uint64(len(batch))
 	o.queuedBytes -= batchBytes
 	if len(o.items) > 0 {
 		o.signal()
@@ -83,11 +96,48 @@
 	return batch
 }
 
-// close drops all queued messages. take returns nothing after close returns.
+// markSent records that the messages returned by take have been written, and
+// calls the waiters for them.
+func (o *outbox[M]) markSent() {
+	o.mu.Lock()
+	o.sent = o.taken
+	ready := 0
+	for ready < len(o.waiters) && o.waiters[ready].position <= o.sent {
+		ready++
+	}
+	notify := o.waiters[:ready]
+	o.waiters = o.waiters[ready:]
+	o.mu.Unlock()
+	for _, w := range notify {
+		w.notify()
+	}
+}
+
+// afterSent calls notify once the messages accepted so far have been written, or
+// the outbox is closed. It may call notify before it returns. notify must not
+// block.
+func (o *outbox[M]) afterSent(notify func()) {
+	o.mu.Lock()
+	if !o.closed && o.sent < o.accepted {
+		o.waiters = append(o.waiters, outboxWaiter{position: o.accepted, notify: notify})
+		o.mu.Unlock()
+		return
+	}
+	o.mu.Unlock()
+	notify()
+}
+
+// close drops all queued messages and calls all waiters. take returns nothing
+// after close returns.
 func (o *outbox[M]) close() {
 	o.mu.Lock()
 	o.closed = true
 	o.items = nil
+	waiters := o.waiters
+	o.waiters = nil
 	o.mu.Unlock()
 	o.signal()
+	for _, w := range waiters {
+		w.notify()
+	}
 }
--- a/internal/rpc/session.go
+++ b/internal/rpc/session.go
@@ -35,8 +35,20 @@
 }
 
 // OpenSession starts a session on conn and takes ownership of it. onState is
-// called with each state that the agent sends, never concurrently.
+// called with each state that the agent sends, never concurrently, and possibly
+// before OpenSession returns.
 func OpenSession(conn *drpcconn.Conn, opts Options, stats *Stats, onState func(*wire.AgentState)) (*Session, error) {
+	s, err := prepareSession(conn, opts, stats, onState)
+	if err != nil {
+		return nil, err
+	}
+	s.start()
+	return s, nil
+}
+
+// prepareSession is OpenSession for a caller that must know the session before its
+// first state is delivered: nothing is sent or received until start.
+func prepareSession(conn *drpcconn.Conn, opts Options, stats *Stats, onState func(*wire.AgentState)) (*Session, error) {
 	stream, err := wire.NewDRPCAgentClient(conn).Session(context.Background())
 	if err != nil {
 		_ = conn.Close()
@@ -57,9 +69,13 @@
 		stats.Silent.Add(1)
 		s.end(ErrSilent)
 	})
+	return s, nil
+}
+
+// start begins to send and receive.
+func (s *Session) start() {
 	go s.send()
 	go s.receive()
-	return s, nil
 }
 
 // Done returns a channel that is closed once the session has ended and every
