explain, observe, control, lease, certs, demo: eleven faults noticed by reading

Cause and change, each with a test but for the counters of lease and demo: - explain: times count from the earliest line; lines that differ in figures only are folded with their count; a request without its last line says so, and how many lines its hosts dropped.

--- a/cmd/acacialink/gateway.go
+++ b/cmd/acacialink/gateway.go
@@ -36,9 +36,9 @@
 	limitMemory(s)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	out := observe.NewAsyncWriter(os.Stdout)
-	defer out.Close()
 	id := observe.Identity{Process: s.Host.Name, Role: "entry", Domain: s.Host.Domain}
+	out := observe.NewAsyncWriter(os.Stdout, id)
+	defer out.Close()
 	log := observe.NewLogger(out, slog.LevelInfo, id)
 	go reloadOnHangup(path, log)
 	log.Info("start", "callers", s.Host.CallerAddress, "ready", s.Host.OperatorAddress, "peers", s.Host.PeerAddress, "store", s.StoreAddress, "first_start", s.Host.FirstStart)
--- a/cmd/acacialink/process.go
+++ b/cmd/acacialink/process.go
@@ -72,13 +72,14 @@
 
 // runProcess builds a process and runs it until SIGTERM or SIGINT.
 func runProcess(files settings.TLS, id observe.Identity, build buildFunc) error {
-	source, err := certs.NewFileSource(certs.Files{CA: files.CA, Cert: files.Cert, Key: files.Key})
+	log := observe.NewLogger(os.Stderr, slog.LevelInfo, id)
+	source, err := certs.NewFileSource(certs.Files{CA: files.CA, Cert: files.Cert, Key: files.Key}, log)
 	if err != nil {
 		return exit.With(exit.Settings, err)
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	process, err := build(ctx, source, observe.NewLogger(os.Stderr, slog.LevelInfo, id))
+	process, err := build(ctx, source, log)
 	if err != nil {
 		return err
 	}
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,7 +132,8 @@
 	info, err := os.Stat(files.Key)
 	is.NoErr(err)
 	is.Equal(info.Mode().Perm(), os.FileMode(0o600))
-	source, err := NewFileSource(files)
+	var log strings.Builder
+	source, err := NewFileSource(files, slog.New(slog.NewTextHandler(&log, nil)))
 	is.NoErr(err)
 	before, _ := source.Current()
 
@@ -151,4 +154,8 @@
 	current, _ := source.Current()
 	is.Equal(current, after)
 	is.True(source.ReloadError() != nil)
+	source.lastCheck = time.Time{}
+	_, _ = source.Current()
+	is.Equal(strings.Count(log.String(), "reloading certificates failed"), 1) // once for each cause
+	is.Equal(strings.Count(log.String(), "certificates reloaded"), 1)
 }
--- a/internal/certs/file_source.go
+++ b/internal/certs/file_source.go
@@ -1,6 +1,7 @@
 package certs
 
 import (
+	"log/slog"
 	"os"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 // It is safe for concurrent use.
 type FileSource struct {
 	files Files
+	log   *slog.Logger
 
 	mu          sync.Mutex // guards the fields below
 	credentials *Credentials
@@ -31,9 +33,9 @@
 }
 
 // NewFileSource reads the files. It returns an error if they are unreadable
-// or invalid.
-func NewFileSource(files Files) (*FileSource, error) {
-	s := &FileSource{files: files}
+// or invalid. Later reloads and their failures are logged.
+func NewFileSource(files Files, log *slog.Logger) (*FileSource, error) {
+	s := &FileSource{files: files, log: log}
 	s.reloadIfChanged(time.Now())
 	if s.reloadErr != nil {
 		return nil, s.reloadErr
@@ -48,11 +50,24 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if now.Sub(s.lastCheck) >= minRecheckInterval {
+		before, failedBefore := s.versions, s.reloadErr
 		s.reloadIfChanged(now)
+		s.logReload(before, failedBefore)
 	}
 	return s.credentials, nil
 }
 
+// logReload logs a reload, and a failure that differs from the one before. The caller
+// must hold s.mu.
+func (s *FileSource) logReload(before [3]fileVersion, failedBefore error) {
+	switch {
+	case s.reloadErr != nil && (failedBefore == nil || failedBefore.Error() != s.reloadErr.Error()):
+		s.log.Warn("reloading certificates failed", "cert", s.files.Cert, "error", s.reloadErr.Error())
+	case s.reloadErr == nil && (failedBefore != nil || s.versions != before):
+		s.log.Info("certificates reloaded", "cert", s.files.Cert)
+	}
+}
+
 // ReloadError returns the error of the last attempt to reload the files, or nil if
 // the current files are in use.
 func (s *FileSource) ReloadError() error {
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -26,6 +26,20 @@
 	return chosen
 }
 
+// surveyedEndpoints returns a sample of the endpoints and all that drain, whose
+// requests in flight decide when they are returned.
+func surveyedEndpoints(endpoints []snapshot.Endpoint) []snapshot.Endpoint {
+	var draining, others []snapshot.Endpoint
+	for _, e := range endpoints {
+		if e.Spec.Draining {
+			draining = append(draining, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	return append(draining, sampleEndpoints(others)...)
+}
+
 // demandMeter measures a pool's demand from the work that its engines completed
 // and from their waiting prompts.
 type demandMeter struct {
--- a/internal/control/pools.go
+++ b/internal/control/pools.go
@@ -75,6 +75,10 @@
 			delete(p.shards, name)
 		}
 	}
+	p.states.retain(func(name string) bool {
+		_, ok := view.Pools()[name]
+		return ok
+	})
 	for name := range view.Pools() {
 		p.stepShard(ctx, view, name)
 	}
@@ -121,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	states := describeAll(ctx, p.opts.Agents, sampleEndpoints(poolEndpoints(view, shard.name, "")))
+	states := describeAll(ctx, p.opts.Agents, surveyedEndpoints(poolEndpoints(view, shard.name, "")))
 	if err := p.advanceOrders(ctx, view, shard, provided, states); err != nil {
 		return err
 	}
--- a/internal/control/pools_test.go
+++ b/internal/control/pools_test.go
@@ -222,3 +222,29 @@
 		})
 	}
 }
+
+// The state dump lists only what the configuration still has.
+func TestRemovedShardsLeaveTheStates(t *testing.T) {
+	is := is.New(t)
+	var states latestStates[int]
+	states.set("kept", 1)
+	states.set("removed", 2)
+	states.retain(func(shard string) bool { return shard == "kept" })
+	is.Equal(states.copy(), map[string]int{"kept": 1})
+}
+
+// A draining endpoint is surveyed in each round, also in a pool that is only sampled:
+// otherwise it is returned only when it happens to be chosen.
+func TestDrainingEndpointsAreAlwaysSurveyed(t *testing.T) {
+	is := is.New(t)
+	endpoints := make([]snapshot.Endpoint, 10*maxSampledAgents)
+	for i := range endpoints {
+		endpoints[i].Name = fmt.Sprint(i)
+	}
+	endpoints[7].Spec.Draining = true
+	for range 20 {
+		surveyed := surveyedEndpoints(endpoints)
+		is.Equal(len(surveyed), maxSampledAgents+1)
+		is.Equal(surveyed[0].Name, "7")
+	}
+}
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -81,7 +81,7 @@
 	// BlockedReason is the reason why the last decision changed no role. It is
 	// empty if there was a change.
 	BlockedReason string `json:"waiting,omitempty"`
-	// Changes is the number of role changes ordered since this host acquired the
+	// Changes is the number of role changes completed since this host acquired the
 	// lease.
 	Changes int `json:"changes"`
 }
@@ -101,6 +101,18 @@
 // Step reconciles once each shard whose lease this host holds.
 func (r *Roles) Step(ctx context.Context) {
 	view := r.opts.Config.Current()
+	listed := make(map[string]bool)
+	for name, spec := range view.Pools() {
+		for _, domain := range spec.Domains {
+			listed[RoleShard(domain, name)] = true
+		}
+	}
+	r.states.retain(func(name string) bool { return listed[name] })
+	for name := range r.shards {
+		if !listed[name] {
+			delete(r.shards, name)
+		}
+	}
 	for name, spec := range view.Pools() {
 		for _, domain := range spec.Domains {
 			r.stepShard(ctx, view, name, domain)
@@ -142,31 +154,31 @@
 	state := r.states.copy()[name]
 	state.Demand = shard.decider.Demand()
 	state.BlockedReason = shard.decider.Reason()
-	if ok {
+	if ok && r.executeOrder(ctx, shard, EngineOrder{
+		Shard:    name,
+		Fence:    shard.fence,
+		Endpoint: change.Engine,
+		Agent:    agentAddress(engines, change.Engine),
+		Kind:     backing.OrderSetRole,
+		Role:     change.Role,
+	}, change.Reason) {
 		state.Changes++
-		r.executeOrder(ctx, shard, EngineOrder{
-			Shard:    name,
-			Fence:    shard.fence,
-			Endpoint: change.Engine,
-			Agent:    agentAddress(engines, change.Engine),
-			Kind:     backing.OrderSetRole,
-			Role:     change.Role,
-		}, change.Reason)
 	}
 	r.states.set(name, state)
 }
 
 // executeOrder executes an order and sets the delay before the next load order to the
-// engine.
-func (r *Roles) executeOrder(ctx context.Context, shard *roleShard, o EngineOrder, reason string) {
+// engine. It reports whether the order was completed.
+func (r *Roles) executeOrder(ctx context.Context, shard *roleShard, o EngineOrder, reason string) bool {
 	log := r.opts.Log.With("piece", o.Shard, "endpoint", o.Endpoint, "order", string(o.Kind), "fence", o.Fence, "reason", reason)
 	if err := r.opts.Orders.Execute(ctx, o); err != nil {
 		shard.notBefore[o.Endpoint] = time.Now().Add(orderRetryDelay)
 		log.Warn("order failed", "error", err.Error())
-		return
+		return false
 	}
 	shard.notBefore[o.Endpoint] = time.Now().Add(orderSettlingDelay)
 	log.Info("order completed")
+	return true
 }
 
 // loadMissing orders at most one engine to load a missing model or adapter, and
--- a/internal/control/survey.go
+++ b/internal/control/survey.go
@@ -108,6 +108,17 @@
 	delete(l.byShard, shard)
 }
 
+// retain removes the state of each shard that is not listed.
+func (l *latestStates[T]) retain(listed func(shard string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for shard := range l.byShard {
+		if !listed(shard) {
+			delete(l.byShard, shard)
+		}
+	}
+}
+
 func (l *latestStates[T]) copy() map[string]T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/demo/entryprocess.go
+++ b/internal/demo/entryprocess.go
@@ -20,7 +20,9 @@
 	entry  *node.Entry
 	ctx    context.Context
 	runErr error
-	done   chan struct{}
+	// done is closed when the current instance has stopped, and restarted when the
+	// next one has started.
+	done, restarted chan struct{}
 }
 
 // start starts the entry host. It performs a planned stop when ctx ends.
@@ -35,6 +37,7 @@
 func (p *entryProcess) startLocked() {
 	entry, done := p.entry, make(chan struct{})
 	p.done = done
+	p.restarted = make(chan struct{})
 	go func() {
 		defer close(done)
 		err := entry.Run(p.ctx)
@@ -44,15 +47,27 @@
 	}()
 }
 
-// wait waits until the current entry host has stopped and returns its error.
+// wait waits until the context of start has ended and the last instance of the entry
+// host has stopped. It returns that instance's error.
 func (p *entryProcess) wait() error {
-	p.mu.Lock()
-	done := p.done
-	p.mu.Unlock()
-	<-done
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.runErr
+	for {
+		p.mu.Lock()
+		ctx, done, restarted := p.ctx, p.done, p.restarted
+		p.mu.Unlock()
+		<-done
+		select {
+		case <-restarted:
+			continue
+		case <-ctx.Done():
+		}
+		p.mu.Lock()
+		last := done == p.done
+		err := p.runErr
+		p.mu.Unlock()
+		if last {
+			return err
+		}
+	}
 }
 
 // kill stops the entry host without a planned stop and waits until it has ended.
@@ -68,6 +83,9 @@
 func (p *entryProcess) restart() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := p.ctx.Err(); err != nil {
+		return err // the site is stopping
+	}
 	s := p.settings
 	s.Listen = settings.EntryListen{
 		Callers:   p.entry.CallerAddr(),
@@ -79,6 +97,8 @@
 		return err
 	}
 	p.entry = entry
+	restarted := p.restarted
 	p.startLocked()
+	close(restarted)
 	return nil
 }
--- a/internal/demo/experiment.go
+++ b/internal/demo/experiment.go
@@ -14,6 +14,7 @@
 	"github.com/acacialink/acacialink/internal/opsclient"
 	"github.com/acacialink/acacialink/internal/replay"
 	"github.com/acacialink/acacialink/internal/settings"
+	"github.com/acacialink/acacialink/internal/standin/engine"
 )
 
 // Experiment is a replay against a dedicated site in this process.
@@ -98,7 +99,7 @@
 		for _, e := range s.Deployment.Engines {
 			f.EndpointSeconds += time.Since(since).Seconds()
 			for _, o := range e.Standin.Record().Orders {
-				if o.Kind == backing.OrderSetRole && !o.Repeat && o.Start.After(since) {
+				if o.Kind == backing.OrderSetRole && !o.Repeat && o.Result == engine.ResultDone && o.Start.After(since) {
 					f.RoleChanges++
 				}
 			}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -43,13 +42,64 @@
 var stateChanges = []string{
 	"configuration in force", "endpoint added", "endpoint leaves", "endpoint changed its stage", "stage ordered",
 	"dependency lost", "dependency regained", "peer lost", "peer regained", "peer left", "draining", "drained", "start", "stop",
-	"log lines dropped",
+	observe.MessageLinesDropped,
+}
+
+// messageEnded is the message of the line that ends a request.
+const messageEnded = "request ended"
+
+// droppedLines returns the number of lines that the state changes report as dropped.
+func droppedLines(changes []logLine) (dropped int64) {
+	for _, l := range changes {
+		if n, ok := l.fields[observe.FieldDropped].(float64); ok && l.message == observe.MessageLinesDropped {
+			dropped += int64(n)
+		}
+	}
+	return dropped
+}
+
+// foldedLine is a line of the timeline that stands for count consecutive ones, of which
+// the last was written at last.
+type foldedLine struct {
+	logLine
+	count int
+	last  time.Time
+}
+
+// fold folds consecutive lines that differ in nothing but figures.
+func fold(timeline []logLine) []foldedLine {
+	var folded []foldedLine
+	for _, l := range timeline {
+		if n := len(folded) - 1; n >= 0 && folded[n].repeats(l) {
+			folded[n].count++
+			folded[n].last = l.at
+			continue
+		}
+		folded = append(folded, foldedLine{logLine: l, count: 1, last: l.at})
+	}
+	return folded
+}
+
+// repeats reports whether other is the same line but for its time and its figures.
+func (l logLine) repeats(other logLine) bool {
+	if l.message != other.message || l.process != other.process || len(l.fields) != len(other.fields) {
+		return false
+	}
+	for name, value := range l.fields {
+		text, isText := value.(string)
+		if otherValue, ok := other.fields[name]; !ok || isText && name != observe.FieldTime && otherValue != text {
+			return false
+		}
+	}
+	return true
 }
 
 // WriteTimeline writes the log lines of the request with the given ID in time order,
 // together with the state changes of the hosts that served it. It marks the request's
-// own lines with an asterisk and gives times relative to the first of them in the
-// input. Text before a line's first brace is ignored, because log collectors add
+// own lines with an asterisk and gives times relative to the earliest of them.
+// Consecutive lines that differ in nothing but figures are folded into the first. If no
+// line tells how the request ended, it says so, and how many lines its hosts dropped
+// meanwhile. Text before a line's first brace is ignored, because log collectors add
 // prefixes. It returns an error that wraps ErrNotFound if no line has the ID.
 func WriteTimeline(in io.Reader, id string, out io.Writer) error {
 	own, changes, invalid, err := readLines(in, id)
@@ -57,17 +107,28 @@
 		return err
 	}
 	if len(own) == 0 {
-		return errors.Wrapf(ErrNotFound, "request %s, %d lines could not be read", id, invalid)
+		return errors.Wrapf(ErrNotFound, "request %s, %d lines could not be read, the hosts dropped %d", id, invalid, droppedLines(changes))
 	}
-	timeline := append(own, relevantChanges(own, changes)...)
-	sort.SliceStable(timeline, func(i, j int) bool { return timeline[i].at.Before(timeline[j].at) })
-	start := own[0].at
-	for _, l := range timeline {
+	slices.SortStableFunc(own, func(a, b logLine) int { return a.at.Compare(b.at) })
+	relevant := relevantChanges(own, changes)
+	start, ended := own[0].at, slices.ContainsFunc(own, func(l logLine) bool { return l.message == messageEnded })
+	timeline := append(own, relevant...)
+	slices.SortStableFunc(timeline, func(a, b logLine) int { return a.at.Compare(b.at) })
+	for _, l := range fold(timeline) {
 		marker := " "
 		if l.fields[observe.FieldRequestID] == id {
 			marker = "*"
 		}
-		if _, err := fmt.Fprintf(out, "%s %+9.3fs %s: %s%s\n", marker, l.at.Sub(start).Seconds(), l.process, l.message, l.details()); err != nil {
+		repeats := ""
+		if l.count > 1 {
+			repeats = fmt.Sprintf(" (%d times in %.3f s)", l.count, l.last.Sub(l.at).Seconds())
+		}
+		if _, err := fmt.Fprintf(out, "%s %+9.3fs %s: %s%s%s\n", marker, l.at.Sub(start).Seconds(), l.process, l.message, repeats, l.details()); err != nil {
+			return errors.Wrap(err, "write the timeline")
+		}
+	}
+	if !ended {
+		if _, err := fmt.Fprintf(out, "no line tells how the request ended; its hosts dropped %d lines around that time\n", droppedLines(relevant)); err != nil {
 			return errors.Wrap(err, "write the timeline")
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -32,6 +32,26 @@
 `)
 }
 
+// A request whose lines were dropped is explained as far as it is known.
+func TestWriteTimelineReportsDroppedAndRepeatedLines(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(WriteTimeline(strings.NewReader(`
+{"time":"2026-01-01T00:00:03Z","msg":"request sent again","process":"h1","request_id":"7","error":"no_budget","predicted_ms":12}
+{"time":"2026-01-01T00:00:02Z","msg":"request sent again","process":"h1","request_id":"7","error":"lost","predicted_ms":10}
+{"time":"2026-01-01T00:00:02.5Z","msg":"request sent again","process":"h1","request_id":"7","error":"no_budget","predicted_ms":11}
+{"time":"2026-01-01T00:00:03.5Z","msg":"log lines dropped","process":"h1","dropped":40,"dropped_total":40}
+{"time":"2026-01-01T00:00:03.5Z","msg":"log lines dropped","process":"h2","dropped":5,"dropped_total":5}
+`), "7", &out))
+	is.Equal(out.String(), `*    +0.000s h1: request sent again error=lost predicted_ms=10
+*    +0.500s h1: request sent again (2 times in 0.500 s) error=no_budget predicted_ms=11
+     +1.500s h1: log lines dropped dropped=40 dropped_total=40
+no line tells how the request ended; its hosts dropped 40 lines around that time
+`)
+	err := WriteTimeline(strings.NewReader(`{"time":"2026-01-01T00:00:03.5Z","msg":"log lines dropped","process":"h1","dropped":40}`), "8", &out)
+	is.True(strings.Contains(err.Error(), "the hosts dropped 40"))
+}
+
 func TestWriteTimelineOfUnknownRequestIsNotFound(t *testing.T) {
 	is := is.New(t)
 	err := WriteTimeline(strings.NewReader(logs), "99", &strings.Builder{})
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -84,8 +84,10 @@
 // host under this lease, because the response to this or an earlier create was
 // lost.
 func (s *Set) resolveCreate(ctx context.Context, name string, id backing.LeaseID, cause error) (backing.Revision, bool) {
-	if errors.Is(cause, backing.ErrUnavailable) {
+	if !errors.Is(cause, backing.ErrConflict) {
 		s.stats.Failures.Add(1)
+	}
+	if errors.Is(cause, backing.ErrUnavailable) {
 		return 0, false
 	}
 	revision, owned, err := s.readKey(ctx, name, id)
@@ -166,6 +168,7 @@
 	s.stats.Calls.Add(1)
 	err := s.opts.Store.Delete(ctx, keyPrefix+item.name, item.revision)
 	if err != nil && !errors.Is(err, backing.ErrConflict) && !errors.Is(err, backing.ErrNotFound) {
+		s.stats.Failures.Add(1)
 		return
 	}
 	s.mu.Lock()
@@ -189,5 +192,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Settings.CallTimeout)
 	defer cancel()
-	return errors.Wrap(s.opts.Store.Revoke(ctx, id), "revoke lease")
+	s.stats.Calls.Add(1)
+	if err := s.opts.Store.Revoke(ctx, id); err != nil {
+		s.stats.Failures.Add(1)
+		return errors.Wrap(err, "revoke lease")
+	}
+	return nil
 }
--- a/internal/lease/stats.go
+++ b/internal/lease/stats.go
@@ -4,10 +4,9 @@
 
 // Stats holds the counters of a host's leases.
 type Stats struct {
-	// Calls counts calls to the store, except the revocation in Close.
+	// Calls counts calls to the store.
 	Calls atomic.Int64
-	// Failures counts failed grants, renewals and reads, and creates that failed
-	// with ErrUnavailable.
+	// Failures counts calls that failed, except creates that lost to another host.
 	Failures atomic.Int64
 	// Expired counts leases that expired in the store.
 	Expired atomic.Int64
--- a/internal/observe/async.go
+++ b/internal/observe/async.go
@@ -2,12 +2,19 @@
 
 import (
 	"io"
-	"strconv"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// MessageLinesDropped is the message of the line that reports dropped lines.
+// FieldDropped is its field with their number since the last such line.
+const (
+	MessageLinesDropped = "log lines dropped"
+	FieldDropped        = "dropped"
+)
+
 const (
 	// asyncQueueLines is the maximum number of queued lines.
 	asyncQueueLines = 1024
@@ -32,11 +39,11 @@
 	windowBytes  int
 }
 
-// NewAsyncWriter returns an AsyncWriter to w and starts its goroutine. Close
-// flushes the queue.
-func NewAsyncWriter(w io.Writer) *AsyncWriter {
+// NewAsyncWriter returns an AsyncWriter to w and starts its goroutine, which logs
+// dropped lines under the identity. Close flushes the queue.
+func NewAsyncWriter(w io.Writer, id Identity) *AsyncWriter {
 	a := &AsyncWriter{lines: make(chan []byte, asyncQueueLines), done: make(chan struct{}), stop: make(chan struct{})}
-	go a.run(w)
+	go a.run(w, NewLogger(w, slog.LevelInfo, id))
 	return a
 }
 
@@ -83,7 +90,7 @@
 	}
 }
 
-func (a *AsyncWriter) run(w io.Writer) {
+func (a *AsyncWriter) run(w io.Writer, log *slog.Logger) {
 	defer close(a.done)
 	reportedDrops := int64(0)
 	for {
@@ -96,8 +103,8 @@
 			}
 		}
 		if dropped := a.dropped.Load(); dropped != reportedDrops && len(a.lines) == 0 {
+			log.Warn(MessageLinesDropped, FieldDropped, dropped-reportedDrops, "dropped_total", dropped)
 			reportedDrops = dropped
-			_, _ = io.WriteString(w, `{"level":"WARN","msg":"log lines dropped","dropped_total":`+strconv.FormatInt(dropped, 10)+"}\n")
 		}
 	}
 }
--- a/internal/observe/async_test.go
+++ b/internal/observe/async_test.go
@@ -31,7 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		out := &blockedWriter{release: make(chan struct{})}
-		w := NewAsyncWriter(out)
+		w := NewAsyncWriter(out, Identity{})
 		for range 3 * asyncQueueLines {
 			n, err := w.Write([]byte("{}\n"))
 			is.NoErr(err)
@@ -50,7 +50,7 @@
 func TestAsyncWriterCloseReturnsWhileOutputBlocks(t *testing.T) {
 	synctest.Test(t, func(*testing.T) {
 		out := &blockedWriter{release: make(chan struct{})}
-		w := NewAsyncWriter(out)
+		w := NewAsyncWriter(out, Identity{})
 		_, _ = w.Write([]byte("line\n"))
 		w.Close()
 		close(out.release)
@@ -63,7 +63,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var out bytes.Buffer
-		w := NewAsyncWriter(&out)
+		w := NewAsyncWriter(&out, Identity{})
 		line := []byte(strings.Repeat("x", 1023) + "\n")
 		for range 2 * asyncBytesPerSecond / len(line) {
 			_, _ = w.Write(line)
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -32,12 +32,15 @@
 	Header map[string][]string `json:"header,omitempty"`
 }
 
+// ResultDone is the result of an order that was executed.
+const ResultDone = "done"
+
 // OrderRecord is one order that the engine received.
 type OrderRecord struct {
 	backing.Order
 	Start time.Time `json:"start"`
 	End   time.Time `json:"end,omitzero"`
-	// Result is "done" or the error text; empty until the execution ends.
+	// Result is ResultDone or the error text; empty until the execution ends.
 	Result string `json:"result,omitempty"`
 	// Overlaps reports whether another order was in progress when it was
 	// received.
@@ -118,7 +121,7 @@
 func (e *Engine) recordOrderEnd(number int, err error) {
 	e.orders.Update(number, func(r *OrderRecord) {
 		r.End = time.Now()
-		r.Result = "done"
+		r.Result = ResultDone
 		if err != nil {
 			r.Result = err.Error()
 		}
