leader, host: fewer calls of the store when the leader changes and the configuration does

Change: a host waits 1.5 s for the next leader, then writes only windows that changed since the leader had them for a second, under one lease; triggers during a read are dropped, as a peer's next message repeats one that still holds.

Test: a change of leader in time causes no write, a longer gap one; the writer of before wrote all windows.

--- a/internal/host/poller.go
+++ b/internal/host/poller.go
@@ -80,6 +80,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		// Triggers during the read concern what it has found, or come again.
+		select {
+		case <-p.trigger:
+		default:
+		}
 		pause := readPause
 		switch {
 		case errors.Is(err, errNotWritten):
--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -49,8 +49,13 @@
 	Incarnation string
 	Log         *slog.Logger
 
-	// leases holds the store lease of each window's key.
-	leases map[int64]backing.LeaseID
+	// lease is the store lease of the keys written last, granted at leaseAt.
+	lease   backing.LeaseID
+	leaseAt time.Time
+	// receivedAt is when the leader was last seen to receive the counts. received
+	// holds the own counts of each window at receivedSince.
+	receivedAt, receivedSince time.Time
+	received                  map[int64]string
 	// revisions holds the last known revision of each window's key.
 	revisions map[int64]backing.Revision
 	// saved holds the last value written for each window.
@@ -61,7 +66,9 @@
 func (w *CountsWriter) Run(ctx context.Context) {
 	w.init()
 	for backing.Pause(ctx, saveInterval) {
-		w.save(ctx)
+		if w.due(time.Now()) {
+			w.save(ctx)
+		}
 	}
 	last, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -69,7 +76,45 @@
 }
 
 func (w *CountsWriter) init() {
-	w.leases, w.revisions, w.saved = make(map[int64]backing.LeaseID), make(map[int64]backing.Revision), make(map[int64]string)
+	w.revisions, w.saved, w.received = make(map[int64]backing.Revision), make(map[int64]string), make(map[int64]string)
+}
+
+const (
+	// leaderGap is how long a host waits for the next leader before it writes its
+	// counts itself. A change of leader takes about as long, and all hosts would
+	// write at once.
+	leaderGap = 1500 * time.Millisecond
+	// receivedDelay is the time after which counts that this host had while the
+	// leader received them are with the leader, and in the store.
+	receivedDelay = time.Second
+)
+
+// due reports whether counts are to be written by this host: it is the leader, or no
+// leader has received them for leaderGap. It records what the leader has received.
+func (w *CountsWriter) due(now time.Time) bool {
+	if w.IsLeader() {
+		return true
+	}
+	if !w.ReceivedByLeader() {
+		return now.Sub(w.receivedAt) >= leaderGap
+	}
+	if now.Sub(w.receivedAt) > 2*saveInterval {
+		clear(w.received) // the leader has received nothing for a while
+		w.receivedSince = now
+	}
+	w.receivedAt = now
+	if now.Sub(w.receivedSince) >= receivedDelay {
+		for window, text := range w.received {
+			w.saved[window] = text
+		}
+		w.receivedSince = now
+		for window := range w.Counter.RecentWindows() {
+			if text, err := json.Marshal(w.counts(window, false)); err == nil {
+				w.received[window] = string(text)
+			}
+		}
+	}
+	return false
 }
 
 func (w *CountsWriter) save(ctx context.Context) {
@@ -96,7 +141,7 @@
 	for window := range w.saved {
 		if window < oldest {
 			delete(w.saved, window)
-			delete(w.leases, window)
+			delete(w.received, window)
 			delete(w.revisions, window)
 		}
 	}
@@ -117,20 +162,20 @@
 func (w *CountsWriter) put(ctx context.Context, window int64, text []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if w.leases[window] == 0 {
+	if w.lease == 0 || time.Since(w.leaseAt) > recordTTL/2 {
 		lease, err := w.Store.Grant(ctx, recordTTL)
 		if err != nil {
 			return errors.Wrap(err, "grant lease for usage counts")
 		}
-		w.leases[window] = lease.ID
+		w.lease, w.leaseAt = lease.ID, time.Now()
 	}
 	key := countsKey(window) + w.Incarnation
-	revision, err := w.Store.CompareAndSwap(ctx, key, w.revisions[window], text, w.leases[window])
+	revision, err := w.Store.CompareAndSwap(ctx, key, w.revisions[window], text, w.lease)
 	switch {
 	case err == nil:
 		w.revisions[window] = revision
 	case errors.Is(err, backing.ErrLeaseExpired):
-		delete(w.leases, window)
+		w.lease = 0
 	case errors.Is(err, backing.ErrConflict):
 		// No other process writes this key, so the conflict comes from an earlier
 		// write whose response was lost.
--- a/internal/leader/usage_test.go
+++ b/internal/leader/usage_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -129,6 +130,44 @@
 	})
 }
 
+// When the leader is lost, the other hosts wait for the next one before they write, and
+// write only what the last one cannot have received.
+func TestHostsWriteFewCountsBetweenLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		counter := NewCounter(window, time.Now)
+		received := true
+		writer := &CountsWriter{IsLeader: falseFunc, ReceivedByLeader: func() bool { return received }, Counter: counter, Store: store.Client("a"), Incarnation: "a-1", Log: discardLog}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			writer.Run(ctx)
+		}()
+		for range 3 {
+			counter.RecordStart("w")
+			time.Sleep(window)
+		}
+		received = false
+		time.Sleep(leaderGap - saveInterval)
+		received = true
+		time.Sleep(window)
+		is.Equal(len(store.Record()), 0) // the next leader came in time
+		counter.RecordStart("w")
+		current := counter.CurrentWindow()
+		received = false
+		time.Sleep(window - time.Second)
+		is.Equal(len(store.Record()), 1) // the current window
+		kv, err := store.Client("b").Get(t.Context(), countsKey(current)+"a-1")
+		is.NoErr(err)
+		is.Equal(string(kv.Value), `{"a-1":{"w":1}}`)
+		cancel()
+		<-done
+	})
+}
+
 func TestPeerCountsNeverDecrease(t *testing.T) {
 	is := is.New(t)
 	counter := NewCounter(window, time.Now)
