--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,13 +78,14 @@
 	medianClock    *mediantime.Clock
 	directory      *peer.Directory
 	group          *peer.Group
-	// reachablePeers returns the names of the reachable peers.
-	reachablePeers func() []string
-	leases         *lease.Set
-	leaderTasks    *leader.Runner
-	gateway        *gateway.Gateway
-	delays         schedulingDelays
-	draining       atomic.Bool
+	// peerState returns the state of the group.
+	peerState   func() peer.State
+	quota       *quota
+	leases      *lease.Set
+	leaderTasks *leader.Runner
+	gateway     *gateway.Gateway
+	delays      schedulingDelays
+	draining    atomic.Bool
 	// exitDeadline is when the process must have exited; nil unless it drains.
 	exitDeadline atomic.Pointer[time.Time]
 	// listedRevision is the store revision of the last listing of endpoints.
@@ -98,6 +99,8 @@
 	leader string
 	// leaderAt is the time of that report.
 	leaderAt time.Time
+	// incarnations holds the incarnation of each peer.
+	incarnations map[string]string
 	// peerVersions holds the last version reports of each peer.
 	peerVersions map[string]peer.VersionReports
 	// stageChanges holds, by endpoint ID, when the stage changes that this host
@@ -109,7 +112,7 @@
 func New(opts Options) *Host {
 	opts.Settings = opts.Settings.withDefaults()
 	s := opts.Settings
-	h := &Host{opts: opts, startedAt: time.Now(), incarnation: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), undecodable: make(map[string]backing.Revision), stageChanges: make(map[string]time.Time), peerVersions: make(map[string]peer.VersionReports)}
+	h := &Host{opts: opts, startedAt: time.Now(), incarnation: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), undecodable: make(map[string]backing.Revision), stageChanges: make(map[string]time.Time), peerVersions: make(map[string]peer.VersionReports), incarnations: make(map[string]string)}
 	h.catalog = catalog.NewCache(h.clock, s.KeyRevocationBound-freshMargin)
 	h.endpoints = endpoint.NewSet(s.ReregistrationTimeout)
 	h.registry = newRegistry(h.clock)
@@ -122,24 +125,23 @@
 	})
 	h.medianClock = mediantime.New(h.clock, time.Now)
 	h.counter = leader.NewCounter(s.UsageWindow, h.medianClock.Now)
-	self := peer.Entry{Host: s.Name, Address: s.PeerAddress, Domain: s.Domain, Incarnation: h.incarnation}
+	self := peer.Entry{Host: s.Name, Address: s.PeerAddress, Domain: s.Domain, Incarnation: h.incarnation, Capacity: s.Cores}
 	h.directory = peer.NewDirectory(self, opts.Ports.Store, opts.Log)
 	h.group = peer.NewGroup(peer.Options{
-		Directory: h.directory, Clock: h.clock, BuildSnapshot: h.snapshot, AddUpdates: h.addUpdates, VersionReports: h.versionReports,
-		Receive: h.receive, ReceiveAnswer: h.receiveAnswer, SnapshotSent: h.snapshotSent, PeerLeft: h.peerLeft, Log: opts.Log,
+		Directory: h.directory, Clock: h.clock, BuildSnapshot: h.snapshot, AddUpdates: h.addUpdates, AnswerMember: h.answerMember, VersionReports: h.versionReports,
+		Receive: h.receive, ReceiveAnswer: h.receiveAnswer, SnapshotSent: h.snapshotSent, PeerLeft: h.peerLeft, PeerDropped: h.tracker.RemovePeer,
+		Reserve: h.grant, Exchange: opts.Exchange, Log: opts.Log,
 	})
-	h.reachablePeers = func() []string {
-		reachable, _ := h.group.Reachable()
-		return reachable
-	}
+	h.peerState = h.group.State
 	h.limiter = limit.New(h.startedAt, limit.Settings{
 		Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack, FirstStart: s.FirstStart,
-	}, h.group)
+	}, limiterPeers{h.group})
+	h.quota = newQuota(h.startedAt, s, h.group, h.limiter, opts.Log)
 	h.leases = h.newLeaseSet()
 	h.leaderTasks = h.newLeaderTasks()
 	h.gateway = gateway.New(gateway.Options{
 		Ingress: opts.Ports.Ingress, Sender: opts.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker,
-		Quota: h.limiter, Usage: h.counter, Budget: gateway.NewRetryBudget(h.startedAt, s.RetryRatio*retryBudgetShare, s.RetryWindow, h.retrySlack),
+		Quota: h.quota, Usage: h.counter, Budget: gateway.NewRetryBudget(h.startedAt, s.RetryRatio*retryBudgetShare, s.RetryWindow, h.retrySlack),
 		Bodies: bodybudget.New(int64(bodyMemoryFraction * float64(s.MemoryBytes))), Domain: s.Domain, HostCount: h.hostCount,
 		Terminating: h.timeToExit, SchedulingDelay: h.delays.Current, Metrics: gateway.NewMetrics(opts.Registry), Log: opts.Log,
 	})
@@ -166,8 +168,7 @@
 
 // hostCount returns the number of hosts in the directory, this one included.
 func (h *Host) hostCount() int {
-	reachable, unreachable := h.group.Reachable()
-	return len(reachable) + len(unreachable) + 1
+	return h.group.State().Hosts
 }
 
 // snapshotSent records that a peer acknowledged a snapshot of this host.
@@ -179,6 +180,7 @@
 func (h *Host) peerLeft(host string) {
 	h.mu.Lock()
 	delete(h.peerVersions, host)
+	delete(h.incarnations, host)
 	h.mu.Unlock()
 	h.tracker.RemovePeer(host)
 	h.limiter.RemovePeer(host)
@@ -241,7 +243,7 @@
 	for _, p := range []*poller{h.configPoller, h.endpointPoller} {
 		tasks.Go(func() { p.run(ctx, h.watchersBefore, h.opts.Log) })
 	}
-	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.removeMissingEndpoints, h.directory.Run, h.group.Run, countsWriter.Run, h.closeExpiredConnections, h.delays.run} {
+	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.removeMissingEndpoints, h.directory.Run, h.group.Run, countsWriter.Run, h.closeExpiredConnections, h.delays.run, h.quota.run} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Go(func() {
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -29,9 +29,13 @@
 }
 
 // preferredLeader returns the host that should hold the control lease: the current
-// leader, or, while there is none, this host if it is a store watcher. False means
-// that this host has no preference.
+// leader, or, while there is none, this host if it is a store watcher. A member that
+// took the lease while the hosts found each other hands it over to a delegate. False
+// means that this host has no preference.
 func (h *Host) preferredLeader(string) (string, bool) {
+	if state := h.peerState(); !state.Delegate && len(state.Reachable) > 0 {
+		return state.Reachable[0], true
+	}
 	if _, _, ok := h.leases.Held(leader.LeaseItem); ok {
 		return h.opts.Settings.Name, true
 	}
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -13,6 +13,7 @@
 	"github.com/acacialink/acacialink/internal/gateway"
 	"github.com/acacialink/acacialink/internal/leader"
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/peer"
 )
 
 // ConfigSource describes where the configuration is stored and how to decode it.
@@ -60,6 +61,8 @@
 	Settings Settings
 	Ports    Ports
 	Registry *observe.Registry
+	// Exchange makes one exchange with another host; nil for calls over TCP.
+	Exchange peer.ExchangeFunc
 	Log      *slog.Logger
 }
 
--- a/internal/host/registry.go
+++ b/internal/host/registry.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +8,7 @@
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/peer"
+	"github.com/acacialink/acacialink/internal/updatelog"
 )
 
 // maxChanges bounds the registry changes retained for peers. A peer that misses
@@ -27,14 +27,13 @@
 	// store; it is valid if known is set.
 	confirmed lease.Instant
 	known     bool
-	// changes are the latest changes that this host read itself.
-	changes []peer.Change
-	// first is the number of the first element of changes. Numbers start at 0.
-	first int64
+	// read holds the changes that this host read itself. all holds in addition those
+	// that it received, for its members.
+	read, all *updatelog.Log[peer.Change]
 }
 
 func newRegistry(clock lease.Clock) *registry {
-	return &registry{clock: clock, view: endpoint.NewRegistryView()}
+	return &registry{clock: clock, view: endpoint.NewRegistryView(), read: updatelog.New[peer.Change](maxChanges), all: updatelog.New[peer.Change](maxChanges)}
 }
 
 // listingEvents returns a full listing at a revision as events: one for each entry
@@ -79,26 +78,46 @@
 	return r.view.Put(now, ev.Key, int64(ev.Revision))
 }
 
-// retain appends a change for peers. It drops the older half when there are
-// maxChanges.
+// retain retains a change for peers.
 func (r *registry) retain(c peer.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.changes) == maxChanges {
-		dropped := maxChanges / 2
-		r.changes = append(r.changes[:0], r.changes[dropped:]...)
-		r.first += int64(dropped)
+	r.read.Append(c)
+	r.all.Append(c)
+}
+
+// applyReceived applies a change that a peer sent and retains a new one for members.
+func (r *registry) applyReceived(now time.Time, c peer.Change) {
+	if !r.apply(now, changeEvent(c)) {
+		return
 	}
-	r.changes = append(r.changes, c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all.Append(c)
+}
+
+// changeEvent returns a peer's change as an event.
+func changeEvent(c peer.Change) backing.Event {
+	return backing.Event{KeyValue: backing.KeyValue{Key: c.Key, Value: c.Value, Revision: backing.Revision(c.Revision)}, Deleted: c.Deleted}
 }
 
-// changesSince returns the retained changes from the given number on, and the number
-// of the next change.
+// changesSince returns the retained changes that this host read from the given number
+// on, and the number of the next one.
 func (r *registry) changesSince(number int64) ([]peer.Change, int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	skip := max(0, min(number-r.first, int64(len(r.changes))))
-	return slices.Clone(r.changes[skip:]), r.first + int64(len(r.changes))
+	changes, _, next := r.read.Since(number)
+	return changes, next
+}
+
+// allChangesSince returns the retained changes that this host read or received from the
+// given number on, and the number of the next one. The numbers differ from those of
+// changesSince.
+func (r *registry) allChangesSince(number int64) ([]peer.Change, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, _, next := r.all.Since(number)
+	return changes, next
 }
 
 // confirm records that the applied entries matched the store at the given instant
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -13,6 +13,8 @@
 	CallerAddress, OperatorAddress, PeerAddress string
 	// MemoryBytes is the hard memory limit of the process; 0 means none.
 	MemoryBytes int64
+	// Cores is the processor capacity of the host in cores; 0 if unknown.
+	Cores float64
 	// FirstStart reports whether the whole deployment starts for the first time.
 	FirstStart bool
 	// ConfigApplyBound is the time within which a configuration change must be in
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,50 +10,154 @@
 	"github.com/acacialink/acacialink/internal/peer"
 )
 
-// snapshot builds a snapshot of this host's state for its peers, without updates.
+// snapshot builds a snapshot of this host's state for delegates, without updates. A
+// delegate speaks for its members too.
 func (h *Host) snapshot() *peer.Snapshot {
 	now := time.Now()
-	return &peer.Snapshot{
+	state := h.group.State()
+	members := make(map[string]bool, len(state.Members))
+	for _, name := range state.Members {
+		members[name] = true
+	}
+	s := &peer.Snapshot{
 		Host: h.opts.Settings.Name, Incarnation: h.incarnation, UptimeMillis: now.Sub(h.startedAt).Milliseconds(), WallMillis: now.UnixMilli(),
-		Loads: h.tracker.Loads(now), ConsumedTokens: h.limiter.Usage(), StageChanges: h.pendingStageChanges(),
+		Delegate: state.Delegate, Members: state.Members,
+		Loads:          h.tracker.Loads(now, func(host string) bool { return members[host] }),
+		ConsumedTokens: h.limiter.Usage(), StageChanges: h.pendingStageChanges(),
 		Leader: h.isLeader() && !h.draining.Load(), Draining: h.draining.Load(),
 	}
+	if !state.Delegate {
+		s.WindowTokens = h.limiter.RecentUsage(now)
+	}
+	return s
+}
+
+// answerMember turns a snapshot for delegates into the answer to a member's report: it
+// speaks for all hosts but that member.
+func (h *Host) answerMember(out, report *peer.Snapshot) {
+	now := time.Now()
+	out.Loads = h.tracker.Loads(now, func(host string) bool { return host != report.Host })
+	out.Members, out.ConsumedTokens = nil, nil
+	out.StageChanges = h.tracker.StageChanges(now)
+	out.Walls = h.medianClock.Readings(maxWallReadings)
+	out.LeaderHost = h.currentLeader()
+	after := report.After
+	if report.AfterOf != h.incarnation {
+		after = peer.UpdatePosition{Dispatches: math.MaxInt64, Changes: math.MaxInt64}
+	}
+	out.Dispatches = h.tracker.AllDispatchesSince(after.Dispatches, report.Host)
+	out.Changes, out.ChangesNext = h.registry.allChangesSince(after.Changes)
+}
+
+// maxWallReadings bounds the readings of wall clocks in an answer to a member.
+const maxWallReadings = 8
+
+// currentLeader returns the leader that this host is or is in touch with; empty if
+// there is none.
+func (h *Host) currentLeader() string {
+	if h.isLeader() && !h.draining.Load() {
+		return h.opts.Settings.Name
+	}
+	if h.leaderReachable() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.leader
+	}
+	return ""
 }
 
 // usageInterval is the least time between sending usage counts to a peer.
 const usageInterval = 150 * time.Millisecond
 
-// addUpdates adds to out the updates after position sent and returns the position
-// after them.
-func (h *Host) addUpdates(out *peer.Snapshot, sent peer.UpdatePosition) peer.UpdatePosition {
-	out.Dispatches, sent.Dispatches = h.tracker.DispatchesSince(sent.Dispatches)
+// addUpdates adds to out the updates after position sent for the given peer and returns
+// the position after them. Usage counts go to the leader, and from members to their
+// home, which passes them on.
+func (h *Host) addUpdates(out *peer.Snapshot, to string, sent peer.UpdatePosition) peer.UpdatePosition {
+	out.Dispatches = h.tracker.OwnDispatchesSince(sent.Dispatches)
+	sent.Dispatches = out.Dispatches.Next
 	out.Changes, sent.Changes = h.registry.changesSince(sent.Changes)
-	if now := time.Now(); now.Sub(sent.UsageSentAt) >= usageInterval {
-		out.Usage, sent.UsageSentAt = h.counter.OwnCounts(), now
+	if now := time.Now(); now.Sub(sent.UsageSentAt) >= usageInterval && (!out.Delegate || h.leaderIs(to)) {
+		out.Usage, sent.UsageSentAt = h.counter.CountsFor(h.incarnation, h.memberIncarnations()), now
 	}
 	return sent
 }
 
+// leaderIs reports whether the named host last reported to be the leader.
+func (h *Host) leaderIs(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leader == host
+}
+
+// memberIncarnations returns the incarnations of the members that report to this host.
+func (h *Host) memberIncarnations() []string {
+	state := h.group.State()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	incarnations := make([]string, 0, len(state.Members))
+	for _, name := range state.Members {
+		if incarnation := h.incarnations[name]; incarnation != "" {
+			incarnations = append(incarnations, incarnation)
+		}
+	}
+	return incarnations
+}
+
 // receive applies a peer's snapshot. If newer is false, a later snapshot of the peer
-// was applied before, and only the updates apply.
-func (h *Host) receive(s *peer.Snapshot, newer bool) {
+// was applied before, and only the updates apply. What strangers report reaches this
+// host through its delegate.
+func (h *Host) receive(s *peer.Snapshot, from peer.Relation, newer bool) {
 	now := time.Now()
-	h.tracker.AddPeerDispatches(now, s.Dispatches)
-	h.counter.MergePeer(s.Incarnation, s.Usage)
+	if from == peer.Stranger {
+		h.receiveVersionReports(s)
+		return
+	}
+	sender := s.Incarnation
+	if from == peer.Home {
+		sender += "/all" // numbered apart from what it sends to delegates
+	}
+	h.tracker.AddPeerDispatches(now, s.Host, sender, s.Dispatches, from == peer.Member)
+	for incarnation, counts := range s.Usage {
+		h.counter.MergePeer(incarnation, counts)
+	}
 	h.receiveChanges(now, s.Changes)
 	if !newer {
 		return
 	}
 	h.tracker.SetPeerLoads(now, s.Host, s.Loads)
-	h.limiter.AddPeerUsage(now, s.Host, s.Incarnation, s.UptimeMillis > now.Sub(h.startedAt).Milliseconds(), s.ConsumedTokens)
 	h.tracker.SetStageChanges(now, s.StageChanges)
 	h.medianClock.RecordPeer(s.Host, time.UnixMilli(s.WallMillis))
+	for host, wall := range s.Walls {
+		if host != h.opts.Settings.Name {
+			h.medianClock.RecordPeer(host, time.UnixMilli(wall))
+		}
+	}
+	switch from {
+	case peer.FellowDelegate:
+		h.limiter.AddPeerUsage(now, s.Host, s.Incarnation, s.UptimeMillis > now.Sub(h.startedAt).Milliseconds(), s.ConsumedTokens)
+	case peer.Member:
+		h.limiter.Adopt(now, s.Incarnation, s.ConsumedTokens, s.WindowTokens)
+	case peer.Home, peer.Stranger:
+	}
 	h.receiveVersionReports(s)
+	h.receiveLeader(s, from, now)
+}
+
+// receiveLeader records which host a peer's snapshot names as the leader.
+func (h *Host) receiveLeader(s *peer.Snapshot, from peer.Relation, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.incarnations[s.Host] = s.Incarnation
+	leaderName := ""
 	switch {
 	case s.Leader:
-		h.leader, h.leaderAt = s.Host, now
+		leaderName = s.Host
+	case from == peer.Home:
+		leaderName = s.LeaderHost
+	}
+	switch {
+	case leaderName != "" && leaderName != h.opts.Settings.Name:
+		h.leader, h.leaderAt = leaderName, now
 	case h.leader == s.Host:
 		h.leader = ""
 	}
@@ -108,5 +213,6 @@
 	if leaderName == "" || !fresh || h.draining.Load() {
 		return false
 	}
-	return slices.Contains(h.reachablePeers(), leaderName)
+	state := h.group.State()
+	return slices.Contains(state.Reachable, leaderName) || !state.Delegate && len(state.Reachable) > 0
 }
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -32,10 +32,18 @@
 // reachable store watchers precede it by name.
 func (h *Host) watchesStore() bool { return h.watchersBefore() < storeWatchers }
 
+// memberWatchers is the number of store watchers that precede a member whose delegate
+// is in touch: it confirms for itself what nobody else has confirmed.
+const memberWatchers = storeWatchers
+
 // watchersBefore returns the number of reachable store watchers that precede this
 // host by name.
 func (h *Host) watchersBefore() int {
-	reachable := h.reachablePeers()
+	state := h.peerState()
+	if !state.Delegate && len(state.Reachable) > 0 {
+		return memberWatchers
+	}
+	reachable := state.Reachable
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	watchers := 0
@@ -73,17 +81,14 @@
 	}
 }
 
-// receiveChanges applies registry changes that a peer read. They are not sent on to
-// other peers.
+// receiveChanges applies registry changes that a peer sent. They are sent on to members
+// only.
 func (h *Host) receiveChanges(now time.Time, changes []peer.Change) {
 	for _, c := range changes {
-		ev := backing.Event{
-			KeyValue: backing.KeyValue{Key: c.Key, Value: c.Value, Revision: backing.Revision(c.Revision)},
-			Deleted:  c.Deleted,
-		}
+		ev := changeEvent(c)
 		h.applyEndpointEvents([]backing.Event{ev})
 		if !h.isMissing(ev) {
-			h.registry.apply(now, ev)
+			h.registry.applyReceived(now, c)
 		}
 	}
 }
--- a/internal/host/versions_test.go
+++ b/internal/host/versions_test.go
@@ -82,7 +82,7 @@
 	h := newEndpointHost()
 	is.NoErr(h.applyConfig(backing.KeyValue{Revision: 5, Value: []byte("7")}))
 	receive := func(version uint64) {
-		h.receive(&peer.Snapshot{Host: "p", Versions: peer.VersionReports{Config: peer.VersionReport{Version: version, AgeMillis: 1}}}, true)
+		h.receive(&peer.Snapshot{Host: "p", Versions: peer.VersionReports{Config: peer.VersionReport{Version: version, AgeMillis: 1}}}, peer.FellowDelegate, true)
 	}
 	receive(5)
 	is.Equal(len(h.configPoller.trigger), 0)
@@ -100,9 +100,9 @@
 	a.applyListing(20, ago(0), "y", "z")
 	changes, next := a.registry.changesSince(0)
 	is.Equal(next, int64(4)) // x, y, z and the deletion of x
-	b.receive(&peer.Snapshot{Host: "a", Changes: changes[3:]}, false)
-	b.receive(&peer.Snapshot{Host: "a", Changes: changes[:3]}, false)
-	b.receive(&peer.Snapshot{Host: "a", Changes: changes}, false)
+	b.receive(&peer.Snapshot{Host: "a", Changes: changes[3:]}, peer.FellowDelegate, false)
+	b.receive(&peer.Snapshot{Host: "a", Changes: changes[:3]}, peer.FellowDelegate, false)
+	b.receive(&peer.Snapshot{Host: "a", Changes: changes}, peer.FellowDelegate, false)
 	is.Equal(b.endpointIDs(), a.endpointIDs())
 	is.Equal(b.endpointIDs(), "yz")
 	is.Equal(b.registry.view.Sum(), a.registry.view.Sum())
@@ -139,7 +139,7 @@
 	a.removeMissing(time.Now().Add(a.opts.Settings.ReregistrationTimeout))
 	is.Equal(a.endpointIDs(), "y")
 	changes, _ := a.registry.changesSince(next)
-	b.receive(&peer.Snapshot{Host: "a", Changes: changes}, true)
+	b.receive(&peer.Snapshot{Host: "a", Changes: changes}, peer.FellowDelegate, true)
 	is.Equal(b.endpointIDs(), "y")
 	is.Equal(a.registry.view.Sum(), b.registry.view.Sum())
 }
@@ -149,10 +149,10 @@
 	is := is.New(t)
 	names := []string{"a", "b", "c"}
 	h := newEndpointHost()
-	h.reachablePeers = func() []string { return names }
+	h.peerState = func() peer.State { return peer.State{Delegate: true, Reachable: names} }
 	is.True(h.watchesStore()) // no other host watches the store
 	for _, name := range names[:2] {
-		h.receive(&peer.Snapshot{Host: name, Versions: peer.VersionReports{WatchesStore: true}}, true)
+		h.receive(&peer.Snapshot{Host: name, Versions: peer.VersionReports{WatchesStore: true}}, peer.FellowDelegate, true)
 	}
 	is.True(!h.watchesStore())
 	names = names[1:] // one watcher becomes unreachable
--- a/internal/leader/counts.go
+++ b/internal/leader/counts.go
@@ -60,18 +60,28 @@
 	counts[workspace]++
 }
 
-// OwnCounts returns a copy of the counts of this process for recent windows, by
-// window.
-func (c *Counter) OwnCounts() map[int64]map[string]int64 {
+// CountsFor returns a copy of the recent counts of this process, under self, and of the
+// given incarnations of peers, by incarnation and window.
+func (c *Counter) CountsFor(self string, peers []string) map[string]map[int64]map[string]int64 {
 	oldest := c.CurrentWindow() - retainedWindows/2
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[int64]map[string]int64)
-	for window, counts := range c.own {
-		if window >= oldest {
-			out[window] = counts.clone()
+	out := make(map[string]map[int64]map[string]int64, len(peers)+1)
+	add := func(incarnation string, windows map[int64]Counts) {
+		for window, counts := range windows {
+			if window < oldest {
+				continue
+			}
+			if out[incarnation] == nil {
+				out[incarnation] = make(map[int64]map[string]int64)
+			}
+			out[incarnation][window] = counts.clone()
 		}
 	}
+	add(self, c.own)
+	for _, incarnation := range peers {
+		add(incarnation, c.received[incarnation])
+	}
 	return out
 }
 
--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -55,7 +55,9 @@
 	// receivedAt is when the leader was last seen to receive the counts. received
 	// holds the own counts of each window at receivedSince.
 	receivedAt, receivedSince time.Time
-	received                  map[int64]string
+	// savedAt is when the counts were last written.
+	savedAt  time.Time
+	received map[int64]string
 	// revisions holds the last known revision of each window's key.
 	revisions map[int64]backing.Revision
 	// saved holds the last value written for each window.
@@ -84,6 +86,8 @@
 	// counts itself. A change of leader takes about as long, and all hosts would
 	// write at once.
 	leaderGap = 1500 * time.Millisecond
+	// ownSaveInterval is the time between writes of a host that is not the leader.
+	ownSaveInterval = time.Second
 	// receivedDelay is the time after which counts that this host had while the
 	// leader received them are with the leader, and in the store.
 	receivedDelay = time.Second
@@ -96,7 +100,7 @@
 		return true
 	}
 	if !w.ReceivedByLeader() {
-		return now.Sub(w.receivedAt) >= leaderGap
+		return now.Sub(w.receivedAt) >= leaderGap && now.Sub(w.savedAt) >= ownSaveInterval
 	}
 	if now.Sub(w.receivedAt) > 2*saveInterval {
 		clear(w.received) // the leader has received nothing for a while
@@ -122,6 +126,7 @@
 	if !isLeader && w.ReceivedByLeader() {
 		return
 	}
+	w.savedAt = time.Now()
 	for window := range w.Counter.RecentWindows() {
 		text, err := json.Marshal(w.counts(window, isLeader))
 		if err != nil {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -1,9 +1,9 @@
-// Package limit enforces each workspace's token rate across all hosts. Every
-// host counts the usage of all hosts in a sliding window and admits requests
-// that still fit. Hosts report their usage to each other. What a host consumes
-// before its peers have received the report is bounded by its share of a
-// reserve, and for each unreachable peer a share of the limit is set aside. The
-// package does no I/O.
+// Package limit enforces each workspace's token rate across all hosts. The hosts
+// that grant tokens count the usage of all hosts in a sliding window and admit
+// requests that still fit. They report what they granted to each other. What one
+// grants before its peers have received the report is bounded by its share of a
+// reserve and of the tokens that are left, and for each host that is out of touch a
+// share of the limit is set aside. The package does no I/O.
 package limit
 
 import (
@@ -40,6 +40,9 @@
 	// minReserveFraction is the minimum reserve as a fraction of the window's
 	// tokens; it applies if little or no overage is allowed.
 	minReserveFraction = 0.1
+	// headroomReserveFraction of the tokens that are left in a window is shared by
+	// the granting hosts in addition to the reserve.
+	headroomReserveFraction = 0.5
 	// steadyBurstFraction of a workspace's burst and steadySlackFraction of the
 	// slack are granted in each window to a workspace with a steady load.
 	steadyBurstFraction, steadySlackFraction = 0.8, 0.35
@@ -58,11 +61,21 @@
 	maxIncarnations = 1024
 )
 
+// PeerState describes the other hosts.
+type PeerState struct {
+	// Reachable are the other granting hosts that receive this host's usage.
+	// Unreachable are the hosts whose usage does not reach this host; they may
+	// consume their share of the limit.
+	Reachable, Unreachable []string
+	// Hosts is the number of hosts, and Granters that of granting ones, both with
+	// this host.
+	Hosts, Granters int
+}
+
 // Peers provides the state of the other hosts.
 type Peers interface {
-	// Reachable returns the names of the reachable and of the unreachable other
-	// hosts.
-	Reachable() (reachable, unreachable []string)
+	// State returns the current state. The limiter does not modify it.
+	State() PeerState
 	// TriggerExchange requests that this host's usage be sent to the other
 	// hosts soon.
 	TriggerExchange()
@@ -104,16 +117,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reachable, unreachable := l.peers.Reachable()
-	reachableHosts := int64(len(reachable) + 1)
-	hosts := reachableHosts + int64(len(unreachable))
+	peers := l.peers.State()
+	reachableGranters := int64(len(peers.Reachable) + 1)
+	granters := max(reachableGranters, int64(peers.Granters))
+	hosts := max(reachableGranters+int64(len(peers.Unreachable)), int64(peers.Hosts))
 	limit, reserve := l.limit(w)
 	slot, share := l.slot(now), limit/hosts
 	a := l.account(w.Name)
-	headroom := limit - a.windowUsage(slot, unreachable, share) - l.priorUsage(now, limit)
+	headroom := limit - a.windowUsage(slot, peers.Unreachable, share) - l.priorUsage(now, limit)
 	// A request larger than the whole window is admitted once the window is
 	// empty.
-	need := min(tokens, limit-share*int64(len(unreachable)))
+	need := min(tokens, limit-share*int64(len(peers.Unreachable)))
 	if wait := l.bucketWait(now, a, w, need); wait > 0 {
 		return max(unsentRetry, wait), false
 	}
@@ -122,7 +136,9 @@
 		a.available = min(a.available, float64(need))
 		return l.windowWait(now, a, need-headroom, limit), false
 	}
-	if !l.admitUnsent(a.consumed-l.minSent(w.Name, reachable, a.consumed), need, reserve/hosts, headroom/reachableHosts) {
+	unsent := a.consumed - l.minSent(w.Name, peers.Reachable, a.consumed)
+	reserveShare := (reserve + int64(headroomReserveFraction*float64(headroom))) / granters
+	if !l.admitUnsent(unsent, need, reserveShare, headroom/reachableGranters) {
 		return unsentRetry, false
 	}
 	a.consume(slot, tokens)
@@ -218,6 +234,40 @@
 	a.available += float64(tokens)
 }
 
+// Adopt counts tokens that a host consumed by itself while it was out of touch as
+// consumed by this one, which reports them to its peers. usage is the total consumed by
+// an incarnation of that host, recent the part of it in the current window, which
+// counts if this is its first report.
+func (l *Limiter) Adopt(now time.Time, incarnation string, usage, recent map[string]int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, reported := l.reported[incarnation]
+	slot := l.slot(now)
+	for name, total := range usage {
+		consumed := total - last[name]
+		if !reported {
+			consumed = recent[name]
+		}
+		if consumed > 0 {
+			l.account(name).consume(slot, consumed)
+		}
+	}
+	l.setReported(incarnation, usage)
+}
+
+// Reset forgets the usage of other hosts, whose later reports this process will have
+// received only from now on, and assumes that the whole limit has just been consumed.
+func (l *Limiter) Reset(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startedAt, l.settings.FirstStart = now, false
+	for name, a := range l.accounts {
+		l.accounts[name] = &account{consumed: a.consumed, refilledAt: now}
+	}
+	clear(l.sent)
+	clear(l.reported)
+}
+
 // Acknowledged records the usage of this host that a peer has acknowledged.
 func (l *Limiter) Acknowledged(peer string, usage map[string]int64) {
 	l.mu.Lock()
@@ -259,12 +309,37 @@
 			}
 		}
 	}
-	if !reported && len(l.reported) >= maxIncarnations {
+	l.setReported(incarnation, usage)
+}
+
+// setReported records the usage last reported by an incarnation. The caller holds mu.
+func (l *Limiter) setReported(incarnation string, usage map[string]int64) {
+	if _, known := l.reported[incarnation]; !known && len(l.reported) >= maxIncarnations {
 		clear(l.reported)
 	}
 	l.reported[incarnation] = usage
 }
 
+// RecentUsage returns this process's own usage in the current window, by workspace.
+// Usage reported by others is not included.
+func (l *Limiter) RecentUsage(now time.Time) map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int64)
+	for name, a := range l.accounts {
+		a.total.advance(l.slot(now))
+		recent := a.total.sum
+		for _, peer := range a.peers {
+			peer.advance(l.slot(now))
+			recent -= peer.sum
+		}
+		if recent > 0 {
+			out[name] = recent
+		}
+	}
+	return out
+}
+
 // account returns the account of a workspace, created on first use. The caller
 // holds mu.
 func (l *Limiter) account(workspace string) *account {
--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -22,7 +22,9 @@
 // peerSet is a Peers whose state is set by tests.
 type peerSet struct{ reachable, unreachable []string }
 
-func (p *peerSet) Reachable() (reachable, unreachable []string) { return p.reachable, p.unreachable }
+func (p *peerSet) State() PeerState {
+	return PeerState{Reachable: p.reachable, Unreachable: p.unreachable, Hosts: 1 + len(p.reachable) + len(p.unreachable)}
+}
 
 func (*peerSet) TriggerExchange() {}
 
@@ -163,19 +165,98 @@
 	is.True(!ok)
 }
 
-// A host consumes only its share of the reserve until its peers have received
-// its usage.
+// A host consumes only its share of the reserve, and of half of the tokens that are
+// left, until its peers have received its usage.
 func TestReserveBoundsUnsentUsage(t *testing.T) {
 	is := is.New(t)
 	l := newFullLimiter(&peerSet{reachable: []string{"b"}})
-	_, ok := reserve(l, 0, 45) // within this host's half of the reserve of 100
+	l.AddPeerUsage(start, "b", "b-1", false, map[string]int64{"w": usableTokens - 100})
+	_, ok := reserve(l, 4*time.Second, 70) // within half of the reserve of 100 and of 50
 	is.True(ok)
-	retry, ok := reserve(l, 0, 10)
+	retry, ok := reserve(l, 4*time.Second, 10)
 	is.True(!ok)
 	is.Equal(retry, unsentRetry)
 	l.Acknowledged("b", l.Usage())
-	_, ok = reserve(l, 0, 10)
+	_, ok = reserve(l, 4*time.Second, 10)
+	is.True(ok)
+}
+
+// Tokens that a host consumed while it was out of touch count once.
+func TestAdoptedUsageCountsOnce(t *testing.T) {
+	is := is.New(t)
+	l := newFullLimiter(noPeers)
+	l.Adopt(start, "m-1", map[string]int64{"w": 500}, map[string]int64{"w": 100}) // 400 are older than the window
+	l.Adopt(start, "m-1", map[string]int64{"w": 500}, map[string]int64{"w": 100})
+	l.Adopt(start, "m-1", map[string]int64{"w": 530}, map[string]int64{"w": 130})
+	is.Equal(l.Usage()["w"], int64(130))
+	is.Equal(l.RecentUsage(start)["w"], int64(130))
+	_, ok := reserve(l, time.Second, usableTokens-130+1)
+	is.True(!ok)
+}
+
+// A host that has not received the usage of the others assumes the worst for a window.
+func TestResetAssumesFullWindow(t *testing.T) {
+	is := is.New(t)
+	l := newFullLimiter(noPeers)
+	_, ok := reserve(l, 0, 300)
 	is.True(ok)
+	l.Reset(start.Add(time.Second))
+	is.Equal(l.Usage()["w"], int64(300))
+	_, ok = reserve(l, time.Second, 100)
+	is.True(!ok)
+	_, ok = reserve(l, time.Second+window, 100)
+	is.True(ok)
+}
+
+// Ten granting hosts with uneven shares of the callers serve a workspace that uses
+// nearly its rate: hardly any request is refused.
+func TestRequestsWithinRateAreGranted(t *testing.T) {
+	is := is.New(t)
+	const granters, step, length = 10, 10 * time.Millisecond, 40 * time.Second
+	const rate, slack = 120_000.0, 140_000.0
+	w := newWorkspace(rate, rate)
+	rng := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // a fixed seed
+	limiters, peerSets := make([]*Limiter, granters), make([]*peerSet, granters)
+	names := []string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}
+	for i := range limiters {
+		peerSets[i] = &peerSet{reachable: append(append([]string{}, names[:i]...), names[i+1:]...)}
+		limiters[i] = New(start, Settings{Overage: 0.1, Slack: slack, FirstStart: true, Window: window, Rand: rng.Float64}, peerSets[i])
+	}
+	requests, granted := 0, 0
+	var consumed []consumption
+	for at := time.Duration(0); at < length; at += step {
+		// Sizes are spread widely around 6,000 tokens, callers come in proportion to
+		// the host's number.
+		for range 2 {
+			if rng.Float64() > 0.92*rate*step.Seconds()/6000/2 {
+				continue
+			}
+			size := int64(min(54_000, 1200+rng.ExpFloat64()*4800))
+			l := limiters[min(rng.IntN(granters), rng.IntN(granters))]
+			requests++
+			for try := range 6 { // the gateway waits for up to 120 ms
+				if _, ok := l.Reserve(start.Add(at+time.Duration(try)*unsentRetry), w, size); ok {
+					granted++
+					consumed = append(consumed, consumption{at, size})
+					break
+				}
+			}
+		}
+		if at%(90*time.Millisecond) != 0 {
+			continue
+		}
+		for i, from := range limiters {
+			for j, to := range limiters {
+				if i != j {
+					usage := from.Usage()
+					to.AddPeerUsage(start.Add(at), names[i], names[i], false, usage)
+					from.Acknowledged(names[j], usage)
+				}
+			}
+		}
+	}
+	is.True(float64(granted) >= 0.99*float64(requests))
+	is.True(float64(maxInWindow(consumed, window)) <= (rate*window.Seconds()+rate)*1.1+slack)
 }
 
 // A request larger than that share is admitted if there is no other unsent
@@ -243,7 +324,8 @@
 // (rate x window + burst) x 1.1 + slack.
 func TestHostsStayWithinRateTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const hosts, slack = 4, 140_000.0
+		const slack = 140_000.0
+		hosts := rapid.IntRange(2, len(hostNames)).Draw(t, "hosts")
 		rate := float64(rapid.IntRange(36_000, 240_000).Draw(t, "rate"))
 		w := newWorkspace(rate, rate)
 		delay := time.Duration(rapid.IntRange(1, 10).Draw(t, "delay")) * 20 * time.Millisecond
@@ -258,11 +340,13 @@
 	})
 }
 
+var hostNames = []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+
 // simulateHosts runs hosts whose callers send requests continuously.
 func simulateHosts(w *catalog.Workspace, slack float64, delay, splitFrom, splitTo time.Duration, size int64, hosts, busy int) []consumption {
 	const step, length, detectionDelay = 20 * time.Millisecond, 20 * time.Second, 600 * time.Millisecond
 	peerSets, limiters := make([]*peerSet, hosts), make([]*Limiter, hosts)
-	names := []string{"a", "b", "c", "d"}[:hosts]
+	names := hostNames[:hosts]
 	others := make([][]string, hosts)
 	rng := rand.New(rand.NewPCG(1, uint64(size))) //nolint:gosec // a fixed seed
 	for i := range limiters {
--- a/internal/limit/ring.go
+++ b/internal/limit/ring.go
@@ -26,9 +26,10 @@
 	}
 }
 
-// add counts tokens in a slot; it ignores slots that have left the window.
+// add counts tokens in a slot; it ignores slots that have left the window or that are
+// before the first one.
 func (r *ring) add(slot, tokens int64) {
-	if r.slot-slot > ringSlots {
+	if r.slot-slot > ringSlots || slot < 0 {
 		return
 	}
 	r.slots[slot%(ringSlots+1)] += tokens
--- a/internal/mediantime/clock.go
+++ b/internal/mediantime/clock.go
@@ -55,6 +55,24 @@
 	c.peers[host] = sample{offset: time.Duration(wall.UnixNano()) - elapsed, receivedAt: elapsed}
 }
 
+// Readings returns the current readings of up to limit other hosts' clocks, in Unix
+// milliseconds by host.
+func (c *Clock) Readings(limit int) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	elapsed := c.elapsed()
+	out := make(map[string]int64, limit)
+	for host, s := range c.peers {
+		if len(out) >= limit {
+			break
+		}
+		if elapsed-s.receivedAt <= sampleTTL {
+			out[host] = (s.offset + elapsed).Milliseconds()
+		}
+	}
+	return out
+}
+
 // Now returns the estimate: the median of the hosts' readings, or this host's
 // own reading if there are fewer than minReadings.
 func (c *Clock) Now() time.Time {
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -44,6 +44,8 @@
 	Domain string `json:"domain"`
 	// Incarnation identifies one start of the host's process.
 	Incarnation string `json:"incarnation"`
+	// Capacity is the processor capacity of the host in cores; 0 if unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Directory maintains the host's own entry in the store and caches the entries
@@ -56,6 +58,8 @@
 	mu sync.Mutex // guards the fields below
 	// hosts caches the entries of all hosts, by name.
 	hosts map[string]Entry
+	// version counts the changes of hosts.
+	version int64
 	// lease is the lease of the host's own entry; 0 if there is none.
 	lease backing.LeaseID
 }
@@ -78,6 +82,16 @@
 	return others
 }
 
+// Version changes with each change of the cached entries.
+func (d *Directory) Version() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
+// Self returns the entry of this host.
+func (d *Directory) Self() Entry { return d.self }
+
 // Run maintains the host's entry and watches those of the other hosts until ctx
 // is done, and then removes the host's entry.
 func (d *Directory) Run(ctx context.Context) {
@@ -170,6 +184,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hosts = hosts
+	d.version++
 	return nil
 }
 
@@ -177,6 +192,7 @@
 func (d *Directory) apply(events []backing.Event) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	for _, ev := range events {
 		name := strings.TrimPrefix(ev.Key, hostsPrefix)
 		if ev.Deleted {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,19 +54,22 @@
 	h.directory = NewDirectory(Entry{Host: name, Address: l.Addr().String(), Incarnation: name + "-1"}, store.Client(name), log)
 	h.group = NewGroup(Options{
 		Directory: h.directory, Log: log,
-		BuildSnapshot: func() *Snapshot { return &Snapshot{Host: name, ConsumedTokens: map[string]int64{"w": 7}} },
-		AddUpdates: func(out *Snapshot, sent UpdatePosition) UpdatePosition {
-			out.Dispatches = h.dispatches[sent.Dispatches:]
+		BuildSnapshot: func() *Snapshot {
+			return &Snapshot{Host: name, Delegate: true, ConsumedTokens: map[string]int64{"w": 7}}
+		},
+		AddUpdates: func(out *Snapshot, _ string, sent UpdatePosition) UpdatePosition {
+			out.Dispatches.Records = h.dispatches[sent.Dispatches:]
 			return UpdatePosition{Dispatches: int64(len(h.dispatches))}
 		},
+		AnswerMember: func(*Snapshot, *Snapshot) {}, PeerDropped: func(string) {},
 		Clock: lease.SystemClock{}, VersionReports: func() VersionReports { return VersionReports{Config: VersionReport{Version: 3, AgeMillis: 5}} },
 		ReceiveAnswer: func(s *Snapshot, _ lease.Instant) { h.locked(func() { h.versions[s.Host] = s.Versions }) },
-		Receive: func(s *Snapshot, newer bool) {
+		Receive: func(s *Snapshot, _ Relation, newer bool) {
 			h.locked(func() {
 				if newer {
 					h.consumed[s.Host] = s.ConsumedTokens["w"]
 				}
-				for _, d := range s.Dispatches {
+				for _, d := range s.Dispatches.Records {
 					h.dispatchCounts[d.Engine]++
 				}
 			})
@@ -120,13 +123,15 @@
 	// sends only to peers whose entries are cached, so both are awaited.
 	waitFor(t, a.condition(func() bool { return a.consumed["b"] == 7 && a.consumed["c"] == 7 && a.acked["b"] && a.acked["c"] }))
 	waitFor(t, c.condition(func() bool { return c.consumed["a"] == 7 && c.consumed["b"] == 7 }))
-	waitFor(t, func() bool { up, down := b.group.Reachable(); return len(up) == 2 && len(down) == 0 })
+	waitFor(t, func() bool { s := b.group.State(); return len(s.Reachable) == 2 && len(s.Unreachable) == 0 })
 	waitFor(t, a.condition(func() bool { return a.versions["b"].Config == VersionReport{Version: 3, AgeMillis: 5} }))
 	// A host that stops removes its entry, and the others remove it.
 	c.stop()
 	waitFor(t, a.condition(func() bool { return a.left["c"] }))
-	reachable, unreachable := a.group.Reachable()
-	is.Equal(len(reachable)+len(unreachable), 1)
+	time.Sleep(2 * stateMaxAge)
+	state := a.group.State()
+	is.Equal(len(state.Reachable)+len(state.Unreachable), 1)
+	is.Equal(state.Hosts, 2)
 }
 
 // Each peer has its own position in the updates, so that it receives all of them
@@ -145,16 +150,16 @@
 func TestGroupFlagsOutOfOrderSnapshots(t *testing.T) {
 	is := is.New(t)
 	var newer []bool
-	g := NewGroup(Options{Receive: func(_ *Snapshot, n bool) { newer = append(newer, n) }})
+	g := NewGroup(Options{Receive: func(_ *Snapshot, _ Relation, n bool) { newer = append(newer, n) }})
 	for _, s := range []Snapshot{{Incarnation: "a-1", Sequence: 5}, {Incarnation: "a-1", Sequence: 4}, {Incarnation: "a-1", Sequence: 6}, {Incarnation: "a-2", Sequence: 1}} {
 		s.Host = "a"
-		g.receive(&s)
+		g.receive(&s, FellowDelegate)
 	}
 	is.Equal(newer, []bool{true, false, true, true})
 }
 
-// Guards against a deadlock: Options.BuildSnapshot may wait for a caller of Reachable, so
-// no lock that Reachable takes may be held while a snapshot is built.
+// Guards against a deadlock: Options.BuildSnapshot may wait for a caller of State, so
+// no lock that State takes may be held while a snapshot is built.
 func TestSnapshotIsBuiltWithoutGroupLock(t *testing.T) {
 	store := kv.New(kv.Options{})
 	defer store.Close()
@@ -162,14 +167,14 @@
 	g = NewGroup(Options{
 		Directory: NewDirectory(Entry{Host: "a"}, store.Client("a"), slog.New(slog.DiscardHandler)),
 		BuildSnapshot: func() *Snapshot {
-			g.Reachable()
+			g.State()
 			return &Snapshot{}
 		},
 	})
 	g.snapshot(0)
 }
 
-// Guards against a deadlock: Options.PeerLeft may call Reachable or wait for a goroutine
+// Guards against a deadlock: Options.PeerLeft may call State or wait for a goroutine
 // that calls it.
 func TestPeerLeftIsCalledWithoutGroupLock(t *testing.T) {
 	store := kv.New(kv.Options{})
@@ -182,14 +187,14 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				g.Reachable()
+				g.State()
 			}()
 			<-done
 			calls++
 		},
 		Log: slog.New(slog.DiscardHandler),
 	})
-	g.exchangers["b"] = &exchanger{entry: Entry{Host: "b"}, stop: func() {}}
+	g.listed["b"] = Entry{Host: "b"}
 	g.reconcile(t.Context())
 	is.New(t).Equal(calls, 1)
 }
@@ -205,7 +210,7 @@
 	store.Client("a").SetDown(true)
 	store.Client("b").SetDown(true)
 	b.stop()
-	waitFor(t, func() bool { up, down := a.group.Reachable(); return len(down) == 1 && len(up) == 0 })
+	waitFor(t, func() bool { s := a.group.State(); return len(s.Unreachable) == 1 && len(s.Reachable) == 0 })
 }
 
 // A restarted host replaces the entry of its previous incarnation.
--- a/internal/peer/rpc.go
+++ b/internal/peer/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
@@ -12,9 +11,11 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// exchangeCall is the only RPC between entry hosts. Request and response are each
-// a Snapshot.
-const exchangeCall = "/acacialink.Peer/Exchange"
+// The RPCs between entry hosts. Request and response of an exchange are each a Snapshot.
+const (
+	exchangeCall = "/acacialink.Peer/Exchange"
+	reserveCall  = "/acacialink.Peer/Reserve"
+)
 
 const (
 	// dialTimeout bounds dialing a peer.
@@ -24,39 +25,47 @@
 	callTimeout = 400 * time.Millisecond
 )
 
-// jsonEncoding implements drpc.Encoding with JSON.
-type jsonEncoding struct{}
-
-func (jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
-
-func (jsonEncoding) Unmarshal(buf []byte, msg drpc.Message) error { return json.Unmarshal(buf, msg) }
-
-// handler serves the exchange RPC.
+// handler serves the RPCs.
 type handler struct {
 	exchange func(*Snapshot) *Snapshot
+	reserve  func(*ReserveRequest) *ReserveResponse
 }
 
-// HandleRPC implements drpc.Handler.
-func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc != exchangeCall {
+// HandleRPC implements drpc.Handler. A panic ends only the call.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Errorf("panic in call %q: %v", rpc, p)
+		}
+	}()
+	switch rpc {
+	case exchangeCall:
+		return handle(stream, h.exchange)
+	case reserveCall:
+		return handle(stream, h.reserve)
+	default:
 		return errors.Errorf("unknown call %q", rpc)
 	}
-	var in Snapshot
-	if err := stream.MsgRecv(&in, jsonEncoding{}); err != nil {
-		return errors.Wrap(err, "receive a snapshot")
+}
+
+// handle serves one call.
+func handle[In, Out any](stream drpc.Stream, answer func(*In) *Out) error {
+	var in In
+	if err := stream.MsgRecv(&in, encoding{}); err != nil {
+		return errors.Wrap(err, "receive the request")
 	}
-	if err := stream.MsgSend(h.exchange(&in), jsonEncoding{}); err != nil {
-		return errors.Wrap(err, "send a snapshot")
+	if err := stream.MsgSend(answer(&in), encoding{}); err != nil {
+		return errors.Wrap(err, "send the response")
 	}
 	return stream.CloseSend()
 }
 
-// serve serves exchange RPCs on the listener until ctx is done.
-func serve(ctx context.Context, l net.Listener, exchange func(*Snapshot) *Snapshot) error {
-	return drpcserver.New(handler{exchange: exchange}).Serve(ctx, l)
+// serve serves the RPCs on the listener until ctx is done.
+func serve(ctx context.Context, l net.Listener, h handler) error {
+	return drpcserver.New(h).Serve(ctx, l)
 }
 
-// client exchanges snapshots with one peer. It dials on demand and is not safe for
+// client makes calls to one peer. It dials on demand and is not safe for
 // concurrent use.
 type client struct {
 	address string
@@ -66,22 +75,30 @@
 // exchange sends a snapshot and returns the peer's. It closes the connection on
 // error.
 func (c *client) exchange(ctx context.Context, out *Snapshot) (*Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var in Snapshot
+	if err := c.invoke(ctx, exchangeCall, out, &in); err != nil {
+		return nil, err
+	}
+	return &in, nil
+}
+
+// invoke makes one call. It closes the connection on error.
+func (c *client) invoke(ctx context.Context, rpc string, request, response any) error {
 	if c.conn == nil {
 		dialer := net.Dialer{Timeout: dialTimeout}
 		conn, err := dialer.DialContext(ctx, "tcp4", c.address)
 		if err != nil {
-			return nil, errors.Wrap(err, "dial the peer")
+			return errors.Wrap(err, "dial the peer")
 		}
 		c.conn = drpcconn.New(conn)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var in Snapshot
-	if err := c.conn.Invoke(ctx, exchangeCall, jsonEncoding{}, out, &in); err != nil {
+	if err := c.conn.Invoke(ctx, rpc, encoding{}, request, response); err != nil {
 		c.close()
-		return nil, errors.Wrap(err, "exchange snapshots with the peer")
+		return errors.Wrapf(err, "call %s of the peer", rpc)
 	}
-	return &in, nil
+	return nil
 }
 
 func (c *client) close() {
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -1,7 +1,9 @@
 // Package peer replicates state between entry hosts: their load on engines, the
 // tokens consumed of each workspace's rate limit, and usage counts. Hosts discover
-// each other through the platform's store and exchange snapshots of their full
-// state, so that the loss of a message is harmless.
+// each other through the platform's store. In a large deployment some hosts of each
+// failure domain are delegates: they exchange with each other, and every other host
+// exchanges with one of them. Snapshots contain the sender's full state, so that the
+// loss of a message is harmless.
 package peer
 
 import (
@@ -11,83 +13,104 @@
 )
 
 // Snapshot is the message that hosts exchange: the sender's full state at one
-// moment, and incremental updates that the receiver has not acknowledged.
+// moment, and incremental updates that the receiver has not acknowledged. A delegate
+// speaks for its members too. In an answer to a member it speaks for all hosts but that
+// member.
 type Snapshot struct {
 	// Host is the sender's name.
-	Host string `json:"host"`
+	Host string
 	// Incarnation identifies one start of the sender's process.
-	Incarnation string `json:"inc"`
+	Incarnation string
 	// UptimeMillis is the age of the sender's process in milliseconds.
-	UptimeMillis int64 `json:"up"`
+	UptimeMillis int64
 	// Sequence orders the snapshots of one incarnation.
-	Sequence int64 `json:"seq"`
+	Sequence int64
 	// WallMillis is the sender's wall-clock time in Unix milliseconds.
-	WallMillis int64 `json:"wall"`
-	// Loads is the sender's load on each engine, by endpoint ID.
-	Loads map[string]placement.Load `json:"loads,omitempty"`
+	WallMillis int64
+	// Delegate reports whether the sender is a delegate. Members are the members that
+	// currently report to it.
+	Delegate bool
+	Members  []string
+	// Loads is the load on each engine, by endpoint ID.
+	Loads map[string]placement.Load
 	// ConsumedTokens is the number of tokens that the sender consumed of each
 	// workspace's rate limit, by workspace.
-	ConsumedTokens map[string]int64 `json:"spent,omitempty"`
+	ConsumedTokens map[string]int64
 	// StageChanges maps the endpoint ID of each engine that the sender ordered to
 	// change its stage to the time remaining until the change is complete.
-	StageChanges map[string]time.Duration `json:"switching,omitempty"`
-	// Leader reports whether the sender holds the control lease.
-	Leader bool `json:"leads,omitempty"`
+	StageChanges map[string]time.Duration
+	// WindowTokens is the part of ConsumedTokens in the current window, in a member's
+	// report.
+	WindowTokens map[string]int64
+	// Leader reports whether the sender holds the control lease. LeaderHost is the
+	// leader that a delegate is in touch with, in its answers to members.
+	Leader     bool
+	LeaderHost string
+	// Walls are readings of the wall clocks of hosts at the time of sending, in Unix
+	// milliseconds, in answers to members.
+	Walls map[string]int64
 	// Draining reports whether the sender is draining before it exits.
-	Draining bool `json:"draining,omitempty"`
+	Draining bool
 
 	// Versions are the sender's version reports at the time of sending.
-	Versions VersionReports `json:"sights"`
+	Versions VersionReports
 
 	// Dispatches, Changes and Usage are incremental updates. Receivers accept repeated
 	// delivery of them.
 
 	// Dispatches are the latest dispatches.
-	Dispatches []placement.DispatchRecord `json:"placed,omitempty"`
-	// Changes are changes of the endpoint registry.
-	Changes []Change `json:"changes,omitempty"`
-	// Usage holds usage counts by window and workspace.
-	Usage map[int64]map[string]int64 `json:"usage,omitempty"`
+	Dispatches placement.DispatchBatch
+	// Changes are changes of the endpoint registry. In an answer to a member,
+	// ChangesNext is the position after them.
+	Changes     []Change
+	ChangesNext int64
+	// Usage holds usage counts by incarnation, window and workspace.
+	Usage map[string]map[int64]map[string]int64
+	// After is the position in the updates of the delegate's incarnation AfterOf that
+	// a member has received. The answer contains the updates after it.
+	After   UpdatePosition
+	AfterOf string
 }
 
 // Change is a change of one entry of the endpoint registry, as stored.
 type Change struct {
 	// Key is the entry's key in the store.
-	Key string `json:"k"`
+	Key string
 	// Value is the entry's new value; empty if the entry was deleted.
-	Value []byte `json:"v,omitempty"`
+	Value []byte
 	// Revision is the store revision of the change.
-	Revision int64 `json:"r"`
+	Revision int64
 	// Deleted reports whether the entry was deleted.
-	Deleted bool `json:"d,omitempty"`
+	Deleted bool
 }
 
 // VersionReport is the version of an item in the store and the time since a
 // linearizable read returned it.
 type VersionReport struct {
-	Version uint64 `json:"v"`
+	Version uint64
 	// AgeMillis is the time since that read in milliseconds, rounded up; negative if
 	// no read has returned the version.
-	AgeMillis int64 `json:"a"`
+	AgeMillis int64
 }
 
 // VersionReports holds a host's version reports for the store.
 type VersionReports struct {
 	// WatchesStore reports whether the host watches the store on behalf of all hosts
 	// and its reads succeed.
-	WatchesStore bool `json:"f,omitempty"`
+	WatchesStore bool
 	// Config reports the configuration; its version is the store revision.
-	Config VersionReport `json:"c"`
+	Config VersionReport
 	// Endpoints reports the endpoint registry; its version is a checksum of the
 	// entries' keys and revisions.
-	Endpoints VersionReport `json:"e"`
+	Endpoints VersionReport
 }
 
 // UpdatePosition is the position up to which a peer has acknowledged a host's updates.
 type UpdatePosition struct {
 	// Dispatches is the number of dispatches sent. Changes is the number of
 	// registry changes sent.
-	Dispatches, Changes int64
+	Dispatches int64
+	Changes    int64
 	// UsageSentAt is the time at which usage counts were last sent.
 	UsageSentAt time.Time
 }
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -57,21 +57,8 @@
 	for _, h := range d.Segments {
 		state.addSegment(now, now.Add(d.ReadyIn), h)
 	}
-	t.appendDispatch(d)
-}
-
-// maxDispatches bounds the dispatches retained for peers; it covers a few
-// seconds.
-const maxDispatches = 256
-
-// appendDispatch retains a dispatch for peers. The caller holds mu.
-func (t *Tracker) appendDispatch(d DispatchRecord) {
-	if len(t.dispatches) == maxDispatches {
-		dropped := maxDispatches / 2
-		t.dispatches = append(t.dispatches[:0], t.dispatches[dropped:]...)
-		t.firstDispatch += int64(dropped)
-	}
-	t.dispatches = append(t.dispatches, d)
+	t.own.Append(d)
+	t.all.Append(d)
 }
 
 func (j *Job) sharedSegmentHashes() []uint64 {
@@ -243,6 +230,24 @@
 	}
 }
 
+// StageChanges returns the remaining time of each known stage change, by engine.
+func (t *Tracker) StageChanges(now time.Time) map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var pending map[string]time.Duration
+	for id, until := range t.stageChanges {
+		remaining := until.Sub(now)
+		if remaining <= 0 {
+			continue
+		}
+		if pending == nil {
+			pending = make(map[string]time.Duration)
+		}
+		pending[id] = remaining
+	}
+	return pending
+}
+
 // changingStage reports whether the engine is changing its stage. The caller
 // holds mu.
 func (t *Tracker) changingStage(now time.Time, id string) bool {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/acacialink/acacialink/internal/endpoint"
 )
@@ -133,9 +134,11 @@
 			return p
 		}
 		other := &Job{PromptTokens: 20_000, Segments: []Segment{{Hash: 90, Tokens: 10_000}, {Hash: 91, Tokens: 10_000}}}
+		peerDispatches := int64(0)
 		evict := func() {
 			if byPeer {
-				tr.AddPeerDispatches(start, []DispatchRecord{{Engine: "p0", Segments: []uint64{90}, Tokens: 20_000}})
+				peerDispatches++
+				tr.AddPeerDispatches(start, "peer", "peer-1", DispatchBatch{First: peerDispatches - 1, Next: peerDispatches, Records: []DispatchRecord{{Engine: "p0", Segments: []uint64{90}, Tokens: 20_000}}}, false)
 				return
 			}
 			tr.Begin(start, engines[0], &Plan{Prefill: engines[0], Decode: engines[1], PrefillTokens: 20_000}, other).Done()
@@ -297,26 +300,91 @@
 		}
 	}
 	dispatch(3)
-	dispatches, next := tr.DispatchesSince(0)
-	is.Equal(len(dispatches), 3)
-	is.Equal(next, int64(3))
+	batch := tr.OwnDispatchesSince(0)
+	is.Equal(len(batch.Records), 3)
+	is.Equal(batch.Next, int64(3))
 	dispatch(2)
-	dispatches, next = tr.DispatchesSince(next)
-	is.Equal(len(dispatches), 2)
-	is.Equal(next, int64(5))
+	batch = tr.OwnDispatchesSince(batch.Next)
+	is.Equal(len(batch.Records), 2)
+	is.Equal(batch.Next, int64(5))
 	dispatch(10 * maxDispatches)
-	dispatches, next = tr.DispatchesSince(next)
-	is.True(len(dispatches) <= maxDispatches)
-	is.Equal(next, int64(5+10*maxDispatches))
+	batch = tr.OwnDispatchesSince(batch.Next)
+	is.True(len(batch.Records) <= maxDispatches)
+	is.Equal(batch.Next, int64(5+10*maxDispatches))
 	// A segment dispatched by a peer counts as cached there.
 	other := NewTracker(DefaultCosts())
 	job := newJob(5000, 1000)
 	other.Plan(start, engines, job, kvCache)
-	other.AddPeerDispatches(start, []DispatchRecord{{Engine: "p0", Segments: []uint64{1}}, {Engine: "p0", Segments: []uint64{1}}})
+	other.AddPeerDispatches(start, "peer", "peer-1", DispatchBatch{Next: 2, Records: []DispatchRecord{{Engine: "p0", Segments: []uint64{1}}, {Engine: "p0", Segments: []uint64{1}}}}, false)
 	p, _ := other.Plan(start.Add(time.Second), engines, job, kvCache)
 	is.Equal(p.PrefillTokens, 1000)
 }
 
+// A dispatch that is delivered twice counts once, also if more follow it.
+func TestRepeatedDispatchesCountOnce(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker(DefaultCosts())
+	engines := newEngines(1, 1)
+	tr.Plan(start, engines, newJob(5000, 1000), kvCache)
+	records := []DispatchRecord{{Engine: "p0", Tokens: 10}, {Engine: "p0", Tokens: 100}, {Engine: "p0", Tokens: 1000}}
+	tr.AddPeerDispatches(start, "peer", "peer-1", DispatchBatch{Next: 2, Records: records[:2]}, false)
+	tr.AddPeerDispatches(start, "peer", "peer-1", DispatchBatch{Next: 2, Records: records[:2]}, false)
+	tr.AddPeerDispatches(start, "peer", "peer-1", DispatchBatch{Next: 3, Records: records}, false)
+	is.Equal(tr.engines["p0"].addedTokens, int64(1110))
+	// The process has restarted, and numbers its dispatches anew.
+	tr.AddPeerDispatches(start, "peer", "peer-2", DispatchBatch{Next: 1, Records: records[:1]}, false)
+	is.Equal(tr.engines["p0"].addedTokens, int64(1120))
+}
+
+// A host that reports for others passes their dispatches on, and none back to where it
+// came from.
+func TestDispatchesAreRelayed(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker(DefaultCosts())
+	tr.AddPeerDispatches(start, "member", "member-1", DispatchBatch{Next: 1, Records: []DispatchRecord{{Engine: "a"}}}, true)
+	tr.AddPeerDispatches(start, "delegate", "delegate-1", DispatchBatch{Next: 1, Records: []DispatchRecord{{Engine: "b", Origin: "other"}}}, false)
+	is.Equal(len(tr.OwnDispatchesSince(0).Records), 1)
+	batch := tr.AllDispatchesSince(0, "member")
+	is.Equal(len(batch.Records), 1)
+	is.Equal(batch.Records[0].Origin, "other")
+	is.Equal(batch.Next, int64(2))
+}
+
+// The sum of the peers' loads equals that of their valid reports at any time.
+func TestPeerLoadsSumIsExact(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tr := NewTracker(DefaultCosts())
+		now := start
+		valid := make(map[string]peerLoad)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(rt, "ms")) * time.Millisecond)
+			host := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "host")
+			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				tr.RemovePeer(host)
+				delete(valid, host)
+			default:
+				loads := map[string]Load{
+					rapid.SampledFrom([]string{"x", "y"}).Draw(rt, "engine"): {PrefillTokens: rapid.IntRange(0, 9).Draw(rt, "tokens"), Streams: 1},
+				}
+				tr.SetPeerLoads(now, host, loads)
+				valid[host] = peerLoad{receivedAt: now, engines: loads}
+			}
+			for _, engine := range []string{"x", "y"} {
+				var want Load
+				for _, p := range valid {
+					if now.Sub(p.receivedAt) < peerLoadTTL {
+						want.add(p.engines[engine])
+					}
+				}
+				if got := tr.load(now, engine); got != want {
+					rt.Fatalf("load of %s is %v, not %v", engine, got, want)
+				}
+			}
+		}
+	})
+}
+
 func BenchmarkPlan(b *testing.B) {
 	tr := NewTracker(DefaultCosts())
 	engines := newEngines(6, 3)
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -6,17 +6,18 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/updatelog"
 )
 
 // Load is the load of one host on one engine.
 type Load struct {
 	// PrefillTokens is the predicted number of prompt tokens still to be prefilled.
-	PrefillTokens int `json:"t,omitempty"`
+	PrefillTokens int
 	// Streams is the number of answers being generated or waiting for
 	// generation.
-	Streams int `json:"s,omitempty"`
+	Streams int
 	// KVTokens is the KV cache size of the requests in flight, in tokens.
-	KVTokens int `json:"m,omitempty"`
+	KVTokens int
 }
 
 func (l *Load) add(other Load) {
@@ -25,6 +26,12 @@
 	l.KVTokens += other.KVTokens
 }
 
+func (l *Load) subtract(other Load) {
+	l.PrefillTokens -= other.PrefillTokens
+	l.Streams -= other.Streams
+	l.KVTokens -= other.KVTokens
+}
+
 // Tracker tracks the load and cache contents of each engine. It is safe for
 // concurrent use.
 type Tracker struct {
@@ -32,14 +39,20 @@
 
 	mu      sync.Mutex
 	engines map[string]*engineState
-	// peers holds the load reported by each other host, by host name.
-	peers map[string]peerLoad
+	// peers holds the load reported by other hosts, by the name of the host that
+	// reports it. A report may cover several hosts. peerSum is their sum by engine.
+	peers   map[string]peerLoad
+	peerSum map[string]Load
+	// peerExpiry is the time at which the oldest of these reports expires.
+	peerExpiry time.Time
 	// rates holds the observed prefill rates.
 	rates map[endpoint.Stage]*rate
-	// dispatches are the latest dispatches, retained for peers. firstDispatch is
-	// the sequence number of the first one.
-	dispatches    []DispatchRecord
-	firstDispatch int64
+	// own holds the dispatches of this host and of those that report to it. all
+	// holds in addition those received from other hosts.
+	own, all *updatelog.Log[DispatchRecord]
+	// applied is the sequence number of the next dispatch expected from each
+	// sender, so that a dispatch that is delivered twice counts once.
+	applied map[string]int64
 	// stageChanges holds the engines that are changing their stage and when the
 	// change ends.
 	stageChanges map[string]time.Time
@@ -51,18 +64,21 @@
 }
 
 // peerLoadTTL is how long a peer's load report is valid.
-const peerLoadTTL = 2500 * time.Millisecond
+const peerLoadTTL = 1500 * time.Millisecond
 
 // DispatchRecord reports to peers that a request was dispatched to an engine, and
 // the shared segments that this adds to the engine's cache.
 type DispatchRecord struct {
-	Engine   string   `json:"e"`
-	Segments []uint64 `json:"p"`
+	// Origin is the host that dispatched the request, if that is not the host that
+	// sends the record.
+	Origin   string
+	Engine   string
+	Segments []uint64
 	// ReadyIn is the predicted time until the segments are prefilled, in ns.
-	ReadyIn time.Duration `json:"r"`
+	ReadyIn time.Duration
 	// Tokens is the number of tokens that the dispatch adds to the engine's
 	// cache.
-	Tokens int64 `json:"t,omitempty"`
+	Tokens int64
 }
 
 // engineState is the state of one incarnation of an engine.
@@ -98,7 +114,9 @@
 // NewTracker returns a tracker without engines.
 func NewTracker(c Costs) *Tracker {
 	return &Tracker{
-		costs: c, engines: make(map[string]*engineState), peers: make(map[string]peerLoad), stageChanges: make(map[string]time.Time),
+		costs: c, engines: make(map[string]*engineState), peers: make(map[string]peerLoad), peerSum: make(map[string]Load),
+		stageChanges: make(map[string]time.Time), applied: make(map[string]int64),
+		own: updatelog.New[DispatchRecord](maxDispatches), all: updatelog.New[DispatchRecord](maxDispatches),
 		rates: map[endpoint.Stage]*rate{
 			endpoint.StagePrefill: {tokensPerMS: c.PrefillRate},
 			endpoint.StageDecode:  {tokensPerMS: c.DecodeRate},
@@ -130,12 +148,38 @@
 	if state := t.engines[id]; state != nil {
 		sum = state.load(now)
 	}
-	for _, p := range t.peers {
-		if now.Sub(p.receivedAt) < peerLoadTTL {
-			sum.add(p.engines[id])
+	t.expirePeers(now)
+	sum.add(t.peerSum[id])
+	return sum
+}
+
+// expirePeers drops the reports that are no longer valid. The caller holds mu.
+func (t *Tracker) expirePeers(now time.Time) {
+	if len(t.peers) == 0 || now.Before(t.peerExpiry) {
+		return
+	}
+	t.peerExpiry = now.Add(peerLoadTTL)
+	for host, p := range t.peers {
+		if expiry := p.receivedAt.Add(peerLoadTTL); !expiry.After(now) {
+			t.removePeer(host)
+		} else if expiry.Before(t.peerExpiry) {
+			t.peerExpiry = expiry
 		}
 	}
-	return sum
+}
+
+// removePeer drops a report from the sum. The caller holds mu.
+func (t *Tracker) removePeer(host string) {
+	for id, l := range t.peers[host].engines {
+		rest := t.peerSum[id]
+		rest.subtract(l)
+		if rest == (Load{}) {
+			delete(t.peerSum, id)
+		} else {
+			t.peerSum[id] = rest
+		}
+	}
+	delete(t.peers, host)
 }
 
 func (s *engineState) load(now time.Time) Load {
@@ -146,42 +190,113 @@
 	return sum
 }
 
-// Loads returns this host's load on each engine, for its peers.
-func (t *Tracker) Loads(now time.Time) map[string]Load {
+// Loads returns this host's load on each engine together with the loads that the
+// peers reported for which include returns true.
+func (t *Tracker) Loads(now time.Time, include func(peer string) bool) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeers(now)
 	out := make(map[string]Load, len(t.engines))
 	for id, state := range t.engines {
 		if l := state.load(now); l != (Load{}) {
 			out[id] = l
 		}
 	}
+	for host, p := range t.peers {
+		if !include(host) {
+			continue
+		}
+		for id, l := range p.engines {
+			sum := out[id]
+			sum.add(l)
+			out[id] = sum
+		}
+	}
 	return out
 }
 
-// DispatchesSince returns the retained dispatches from a sequence number on, and
-// the sequence number of the next one.
-func (t *Tracker) DispatchesSince(seq int64) ([]DispatchRecord, int64) {
+// DispatchBatch is a sequence of dispatches of one sender, without those that the
+// receiver itself made.
+type DispatchBatch struct {
+	// First is the sequence number of the first dispatch, Next the one after the
+	// last.
+	First   int64
+	Next    int64
+	Records []DispatchRecord
+}
+
+// maxDispatches bounds the dispatches retained for peers; it covers a second of the
+// largest fleets and a few seconds of others.
+const maxDispatches = 1024
+
+// maxBatch bounds the dispatches of one message. A receiver that missed more than these
+// knows a little less of what engines have cached.
+const maxBatch = 160
+
+func newDispatchBatch(records []DispatchRecord, first, next int64) DispatchBatch {
+	if dropped := len(records) - maxBatch; dropped > 0 {
+		records, first = records[dropped:], first+int64(dropped)
+	}
+	return DispatchBatch{First: first, Next: next, Records: records}
+}
+
+// OwnDispatchesSince returns the retained dispatches of this host, and of the hosts
+// that report to it, from a sequence number on.
+func (t *Tracker) OwnDispatchesSince(seq int64) DispatchBatch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return newDispatchBatch(t.own.Since(seq))
+}
+
+// AllDispatchesSince returns the retained dispatches of all hosts but one from a
+// sequence number on. The sequence numbers differ from those of OwnDispatchesSince.
+func (t *Tracker) AllDispatchesSince(seq int64, except string) DispatchBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	from := max(0, min(seq-t.firstDispatch, int64(len(t.dispatches))))
-	return slices.Clone(t.dispatches[from:]), t.firstDispatch + int64(len(t.dispatches))
+	batch := newDispatchBatch(t.all.Since(seq))
+	batch.Records = slices.DeleteFunc(batch.Records, func(d DispatchRecord) bool { return d.Origin == except })
+	return batch
 }
 
 // SetPeerLoads replaces the loads reported by another host.
 func (t *Tracker) SetPeerLoads(now time.Time, host string, loads map[string]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeers(now)
+	t.removePeer(host)
+	if len(t.peers) == 0 {
+		t.peerExpiry = now.Add(peerLoadTTL)
+	}
 	t.peers[host] = peerLoad{receivedAt: now, engines: loads}
+	for id, l := range loads {
+		sum := t.peerSum[id]
+		sum.add(l)
+		t.peerSum[id] = sum
+	}
 }
 
-// AddPeerDispatches applies the dispatches of another host. Dispatches to engines
-// without state are ignored. A dispatch may be delivered twice; its tokens are
-// then added twice.
-func (t *Tracker) AddPeerDispatches(now time.Time, dispatches []DispatchRecord) {
+// AddPeerDispatches applies the dispatches that an incarnation of another host sent,
+// each once. Dispatches to engines without state are ignored. With relay, they are
+// retained for peers like those of this host.
+func (t *Tracker) AddPeerDispatches(now time.Time, host, incarnation string, batch DispatchBatch, relay bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, d := range dispatches {
+	records := batch.Records
+	if skip := t.applied[incarnation] - batch.First; skip > 0 {
+		records = records[min(skip, int64(len(records))):]
+	}
+	if len(t.applied) >= maxSenders {
+		clear(t.applied)
+	}
+	t.applied[incarnation] = max(t.applied[incarnation], batch.Next)
+	for _, d := range records {
+		if d.Origin == "" {
+			d.Origin = host
+		}
+		t.all.Append(d)
+		if relay {
+			t.own.Append(d)
+		}
 		if state := t.engines[d.Engine]; state != nil {
 			state.addedTokens += d.Tokens
 			for _, h := range d.Segments {
@@ -207,9 +322,12 @@
 func (t *Tracker) RemovePeer(host string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.peers, host)
+	t.removePeer(host)
 }
 
+// maxSenders bounds the senders of dispatches that are told apart.
+const maxSenders = 4096
+
 const (
 	// segmentTTL is how long a segment is assumed to stay in an engine's cache
 	// without being used.
