placement, host: a copied prefix counts as what it displaces; accepted requests are answered at the end of a drain

A copy from another engine's cache cost a few milliseconds in the plan, so all engines held copies of all parts, and each dropped what it needed next. - http.Server.Shutdown and Close drop a request whose header is still arriving, and Close those in progress, when the drain ends.

Change: a copied token costs as much as one that is read again. The host closes its listener, and its connections once no request is open or arriving, within 0.4 s.

--- a/internal/demo/entryprocess_test.go
+++ b/internal/demo/entryprocess_test.go
@@ -33,7 +33,7 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 	stop()
-	_ = <-stopped
+	is.NoErr(<-stopped)
 	select {
 	case <-process.done:
 	default:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -213,6 +213,8 @@
 	defer cancel()
 	failed := make(chan error, 3)
 	server := h.newServer(h.gateway)
+	var open openRequests
+	server.ConnState = open.connState
 	go func() { failed <- errors.Wrap(server.Serve(callers), "serve callers") }()
 	go func() { failed <- errors.Wrap(h.newServer(h.operatorHandler()).Serve(ready), "serve readiness") }()
 	go func() { failed <- errors.Wrap(h.group.Serve(ctx, peers), "serve peers") }()
@@ -223,9 +225,10 @@
 	case <-stop.Done():
 	}
 	h.drain()
+	err = shutDown(server, callers, &open)
 	cancel()
 	wait()
-	return server.Close()
+	return err
 }
 
 // listen opens a TCP listener on an IPv4 address.
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -24,6 +24,10 @@
 	// TransferCost is the penalty for any other transfer, since traffic has a
 	// price. A request that is not split incurs neither.
 	CrossDomainCost, TransferCost time.Duration
+	// DisplacementCost is the penalty for each token of a cached prefix segment that
+	// is copied from another engine: the copy displaces as much from the engine's
+	// cache, which other prompts then lack.
+	DisplacementCost time.Duration
 	// RecomputeCost is the penalty for each token of a shared prefix segment that
 	// the engine would prefill although another engine has it cached.
 	RecomputeCost time.Duration
@@ -39,6 +43,6 @@
 		CrossDomainFactor: 2,
 		StreamCost:        500 * time.Microsecond,
 		TransferCost:      time.Millisecond, CrossDomainCost: 20 * time.Millisecond,
-		RecomputeCost: 20 * time.Microsecond,
+		DisplacementCost: 20 * time.Microsecond, RecomputeCost: 20 * time.Microsecond,
 	}
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -42,17 +42,21 @@
 		c := &candidates[i]
 		prefillTokens, fetch, fetchTime := t.prefillWork(c, source, job, kv)
 		prefillTime := t.prefillTime(c, job, prefillTokens) + fetchTime
+		penalty := t.extraCost(c, prefillTokens, job)
+		if fetch != "" {
+			penalty += time.Duration(source.fetchable-c.cached) * t.costs.DisplacementCost
+		}
 		switch c.endpoint.Stage {
 		case endpoint.StageDecode:
 			p := Plan{Decode: c.endpoint, FetchFrom: fetch, FirstEvent: prefillTime, PrefillTokens: prefillTokens}
-			consider(p, prefillTime+t.extraCost(c, prefillTokens, job)+t.decodeInterference(c, prefillTokens)+memoryCost(c, job, kv))
+			consider(p, prefillTime+penalty+t.decodeInterference(c, prefillTokens)+memoryCost(c, job, kv))
 		case endpoint.StagePrefill:
 			if job.NoSplit || decode == nil || now.Before(c.state.noPrefillUntil) {
 				continue
 			}
 			transfer := t.promptTransferTime(c, decode, job, kv)
 			p := Plan{Prefill: c.endpoint, Decode: decode.endpoint, FetchFrom: fetch, FirstEvent: prefillTime + transfer, PrefillTokens: prefillTokens}
-			consider(p, prefillTime+transfer+decodeScore+t.transferCost(c, decode)+t.extraCost(c, prefillTokens, job))
+			consider(p, prefillTime+transfer+decodeScore+t.transferCost(c, decode)+penalty)
 		case endpoint.StageNone:
 		}
 	}
