backing, node, httpdrain: late copies reach no other call; entry hosts drain like gateways

Causes: services and engines of the product's own interface name no request in their answers, so a second copy of an answer, sent late on a connection in use again, became the next caller's answer. entry's drain ended with Shutdown, which drops requests whose header is still arriving.

Change: calls of services and generations use a connection each. The tracker of open requests is a package of its own, used by both entrances.

Test: a server that sends copies (the second caller got the first one's answer before).

--- a/internal/backing/engine_http.go
+++ b/internal/backing/engine_http.go
@@ -19,9 +19,10 @@
 // HTTPEngine implements Engine over HTTP. Streams are lines of JSON.
 type HTTPEngine struct {
 	caller Caller
-	// orderCaller sends each order on a new connection, so that a broken idle
-	// connection cannot make the outcome of an order unknown.
-	orderCaller Caller
+	// newConnCaller sends each order and generation on a new connection, so that a
+	// broken idle connection cannot make the outcome of an order unknown, and no late
+	// copy of another response can be taken for a generation.
+	newConnCaller Caller
 }
 
 var _ Engine = (*HTTPEngine)(nil)
@@ -30,8 +31,8 @@
 // client is nil, it uses a client with NewTransport.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
 	caller := NewCaller(base, client)
-	orderCaller := Caller{base: caller.base, client: noReuseClient(caller.client)}
-	return &HTTPEngine{caller: caller, orderCaller: orderCaller}
+	newConnCaller := Caller{base: caller.base, client: noReuseClient(caller.client)}
+	return &HTTPEngine{caller: caller, newConnCaller: newConnCaller}
 }
 
 // Cancel implements Engine.
@@ -56,7 +57,7 @@
 
 // Apply implements Engine.
 func (e *HTTPEngine) Apply(ctx context.Context, order Order) error {
-	return e.orderCaller.postJSON(ctx, applyTimeout, "/v1/orders", order, nil)
+	return e.newConnCaller.postJSON(ctx, applyTimeout, "/v1/orders", order, nil)
 }
 
 // ExportKV implements Engine.
--- a/internal/backing/generate_http.go
+++ b/internal/backing/generate_http.go
@@ -36,9 +36,9 @@
 		return Finish{}, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := e.caller.client.Do(req)
+	resp, err := e.newConnCaller.client.Do(req)
 	if err != nil {
-		return Finish{}, e.caller.handleTransportError(sent, cancelCause(ctx, err))
+		return Finish{}, e.newConnCaller.handleTransportError(sent, cancelCause(ctx, err))
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/internal/backing/service_http.go
+++ b/internal/backing/service_http.go
@@ -25,11 +25,11 @@
 
 // HTTPService implements Service for a plain HTTP service.
 type HTTPService struct {
+	// caller sends each request on a new connection. On a reused one the transport
+	// resends requests with an Idempotency-Key header by itself, and a caller may
+	// send that header; and a second copy of the last response could be taken for
+	// the response to the next request, because services send no request ID.
 	caller Caller
-	// atMostOnceClient sends the requests that are not idempotent, each on a new
-	// connection. On a reused connection the transport resends requests with an
-	// Idempotency-Key header by itself, and a caller may send that header.
-	atMostOnceClient *http.Client
 }
 
 var _ Service = (*HTTPService)(nil)
@@ -38,7 +38,8 @@
 // client is nil, it uses a client with NewTransport.
 func NewHTTPService(base string, client *http.Client) *HTTPService {
 	caller := NewCaller(base, client)
-	return &HTTPService{caller: caller, atMostOnceClient: noReuseClient(caller.client)}
+	caller.client = noReuseClient(caller.client)
+	return &HTTPService{caller: caller}
 }
 
 // Call implements Service.
@@ -53,7 +54,7 @@
 		return ServiceResponse{}, err
 	}
 	req.Header = serviceHeader(r)
-	resp, err := s.clientFor(r).Do(req)
+	resp, err := s.caller.client.Do(req)
 	if err != nil {
 		return ServiceResponse{}, s.caller.handleTransportError(sent, err)
 	}
@@ -68,13 +69,6 @@
 	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-func (s *HTTPService) clientFor(r ServiceRequest) *http.Client {
-	if r.Idempotent {
-		return s.caller.client
-	}
-	return s.atMostOnceClient
-}
-
 func serviceHeader(r ServiceRequest) http.Header {
 	header := make(http.Header, len(r.Header)+1)
 	for name, values := range r.Header {
--- a/internal/backing/service_http_test.go
+++ b/internal/backing/service_http_test.go
@@ -135,3 +135,50 @@
 	_, err = service.Call(t.Context(), request)
 	is.True(errors.Is(err, backing.ErrRejected))
 }
+
+// copyingServer sends a second copy of each response when the next request on the
+// connection arrives, before the response to that one.
+func copyingServer(t *testing.T) string {
+	t.Helper()
+	var listen net.ListenConfig
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				last := ""
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.URL.Path[1:]
+					_, _ = io.WriteString(conn, last+response)
+					last = response
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// A late second copy of one response must not become the response to another caller's
+// request.
+func TestLateCopyIsNoResponseToNextRequest(t *testing.T) {
+	is := is.New(t)
+	service := backing.NewHTTPService(copyingServer(t), nil)
+	for _, path := range []string{"aa", "bb", "cc"} {
+		response, err := service.Call(t.Context(), backing.ServiceRequest{ID: path, Method: http.MethodGet, Path: "/" + path, Idempotent: true})
+		is.NoErr(err)
+		is.Equal(string(response.Body), path)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/gateway"
+	"github.com/acacialink/acacialink/internal/httpdrain"
 	"github.com/acacialink/acacialink/internal/leader"
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/limit"
@@ -213,8 +214,8 @@
 	defer cancel()
 	failed := make(chan error, 3)
 	server := h.newServer(h.gateway)
-	var open openRequests
-	server.ConnState = open.connState
+	var open httpdrain.Tracker
+	open.Track(server)
 	go func() { failed <- errors.Wrap(server.Serve(callers), "serve callers") }()
 	go func() { failed <- errors.Wrap(h.newServer(h.operatorHandler()).Serve(ready), "serve readiness") }()
 	go func() { failed <- errors.Wrap(h.group.Serve(ctx, peers), "serve peers") }()
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -5,10 +5,10 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/httpdrain"
 )
 
 // connectionExpiryInterval is the time between checks for expired connections to
@@ -35,40 +35,13 @@
 // the drain.
 const shutdownTimeout = shutdownReserve / 2
 
-// openRequests tracks the connections of a server on which a request is in progress or
-// may be arriving. http.Server.Shutdown drops the latter. It is safe for concurrent use.
-type openRequests struct {
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-}
-
-// connState is the server's ConnState hook.
-func (o *openRequests) connState(c net.Conn, state http.ConnState) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if state != http.StateNew && state != http.StateActive {
-		delete(o.conns, c)
-		return
-	}
-	if o.conns == nil {
-		o.conns = make(map[net.Conn]struct{})
-	}
-	o.conns[c] = struct{}{}
-}
-
-func (o *openRequests) none() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.conns) == 0
-}
-
 // shutDown closes the listener, waits until all requests that were accepted have their
 // response, at most for shutdownTimeout, and closes the server.
-func shutDown(server *http.Server, l net.Listener, open *openRequests) error {
+func shutDown(server *http.Server, l net.Listener, open *httpdrain.Tracker) error {
 	_ = l.Close()
-	for deadline := time.Now().Add(shutdownTimeout); !open.none() && time.Now().Before(deadline); {
-		time.Sleep(drainPollInterval)
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	open.Wait(ctx)
 	return server.Close()
 }
 
--- a/internal/host/serve_test.go
+++ b/internal/host/serve_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/httpdrain"
 )
 
 // A request that has just been accepted when the drain ends gets its response: both one
@@ -24,8 +26,8 @@
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(w, "answer")
 	}))
-	var open openRequests
-	server.ConnState = open.connState
+	var open httpdrain.Tracker
+	open.Track(server)
 	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // loopback
 	is.NoErr(err)
 	served := make(chan error, 1)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -18,6 +18,7 @@
 	"github.com/acacialink/acacialink/internal/control"
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/fleet"
+	"github.com/acacialink/acacialink/internal/httpdrain"
 	"github.com/acacialink/acacialink/internal/idempotency"
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/member"
@@ -61,6 +62,8 @@
 	roles          *control.Roles
 	pools          *control.Pools
 	callers        *entry.Server
+	// callerRequests tracks the requests of callers for the graceful shutdown.
+	callerRequests httpdrain.Tracker
 	peers          *rpc.Server
 	rpcStats       rpc.Stats
 	draining       drainState
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -16,13 +16,15 @@
 // callerServer returns the HTTP server for callers. Request headers are limited in size
 // and time.
 func (e *Entry) callerServer() *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           e.callers,
 		ReadHeaderTimeout: e.settings.Timeouts.Header.Std(),
 		IdleTimeout:       e.settings.Timeouts.Idle.Std(),
 		MaxHeaderBytes:    int(e.settings.Limits.HeaderBytes),
 		ConnContext:       entry.ConnContext,
 	}
+	e.callerRequests.Track(server)
+	return server
 }
 
 // operatorServer returns the HTTP server for operators: health, metrics, state dumps and
@@ -65,6 +67,7 @@
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain.Std())
 	defer cancel()
+	e.callerRequests.Wait(ctx)
 	err := callers.Shutdown(ctx)
 	e.log.Info("drain finished", "requests_left", e.callers.OpenRequests(), "complete", err == nil, "duration_ms", time.Since(started).Milliseconds())
 }
