--- a/internal/control/mover.go
+++ b/internal/control/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -34,6 +35,8 @@
 		return s.checkRunning(o)
 	case stageDraining:
 		return s.drain(ctx, o)
+	case stageEmptying:
+		return s.awaitIdle(o)
 	case stageReturning:
 		return s.returnEndpoint(ctx, o)
 	default:
@@ -86,8 +89,7 @@
 	return o.Stage, true, nil
 }
 
-// drain marks the endpoint as draining and waits until it is idle, or until there
-// is no state of its agent and the platform no longer reports it as running.
+// drain marks the endpoint as draining.
 func (s *orderStepper) drain(ctx context.Context, o poolOrder) (stage, bool, error) {
 	r, declared := s.view.Get(resource.KindEndpoint, o.ID)
 	if !declared {
@@ -99,9 +101,22 @@
 	}
 	if !spec.Draining {
 		spec.Draining = true
-		return o.Stage, true, s.putEndpoint(ctx, o.ID, spec)
+		if err := s.putEndpoint(ctx, o.ID, spec); err != nil {
+			return o.Stage, true, err
+		}
 	}
-	if s.busy(o.ID) {
+	return stageEmptying, true, nil
+}
+
+// inForceTime is the time after which each entry host uses an accepted change of the
+// configuration, or no keyed route at all.
+const inForceTime = snapshot.FreshFor + snapshot.InForceMargin
+
+// awaitIdle waits until each entry host knows that the endpoint drains, and then until
+// it is idle, or until there is no state of its agent and the platform no longer
+// reports it as running.
+func (s *orderStepper) awaitIdle(o poolOrder) (stage, bool, error) {
+	if time.Since(o.Since) < inForceTime || s.busy(o.ID) {
 		return o.Stage, true, nil
 	}
 	return stageReturning, true, nil
--- a/internal/control/poolrecord.go
+++ b/internal/control/poolrecord.go
@@ -22,9 +22,11 @@
 	stageOrdered stage = "ordered"
 	// stageRunning means that the endpoint is in the configuration.
 	stageRunning stage = "running"
-	// stageDraining means that the endpoint gets no new requests and is returned
-	// once idle.
+	// stageDraining means that the endpoint is to get no new requests.
 	stageDraining stage = "draining"
+	// stageEmptying means that the configuration says so. Once each entry host uses
+	// it, the endpoint is returned as soon as it is idle.
+	stageEmptying stage = "emptying"
 	// stageReturning means that the return may have been sent to the platform.
 	stageReturning stage = "returning"
 )
--- a/internal/control/pools.go
+++ b/internal/control/pools.go
@@ -217,7 +217,7 @@
 			Running:   o.Stage == stageRunning,
 			OrderedAt: o.Ordered,
 			InFlight:  inFlight[o.ID],
-			Leaving:   o.Stage == stageDraining || o.Stage == stageReturning,
+			Leaving:   o.Stage == stageDraining || o.Stage == stageEmptying || o.Stage == stageReturning,
 		})
 	}
 	for _, e := range poolEndpoints(view, shard.name, "") {
--- a/internal/control/pools_test.go
+++ b/internal/control/pools_test.go
@@ -248,3 +248,25 @@
 		is.Equal(surveyed[0].Name, "7")
 	}
 }
+
+// An idle endpoint is returned only once each entry host knows that it drains: until
+// then one may still send it requests.
+func TestDrainingEndpointIsReturnedOnceAllHostsKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newPoolSim(t)
+		pools := s.newPools("a")
+		stepper := &orderStepper{pools: pools, view: s.config.Current(), pool: "p", states: []endpointState{{Endpoint: snapshot.Endpoint{Name: "p-1"}, state: &wire.AgentState{Endpoint: "p-1"}}}}
+		order := poolOrder{ID: "p-1", Stage: stageEmptying, Since: time.Now()}
+		time.Sleep(inForceTime - time.Millisecond)
+		to, retain, err := stepper.step(t.Context(), order)
+		is.NoErr(err)
+		is.True(retain)
+		is.Equal(to, stageEmptying)
+		time.Sleep(time.Millisecond)
+		to, _, err = stepper.step(t.Context(), order)
+		is.NoErr(err)
+		is.Equal(to, stageReturning)
+		s.store.Close()
+	})
+}
