--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -33,8 +33,8 @@
 // took the lease while the hosts found each other hands it over to a delegate. False
 // means that this host has no preference.
 func (h *Host) preferredLeader(string) (string, bool) {
-	if h.hasHome() {
-		return h.peerState().Reachable[0], true
+	if state := h.peerState(); !state.Delegate && len(state.Reachable) > 0 {
+		return state.Reachable[0], true
 	}
 	if _, _, ok := h.leases.Held(leader.LeaseItem); ok {
 		return h.opts.Settings.Name, true
--- a/internal/host/poller.go
+++ b/internal/host/poller.go
@@ -22,21 +22,12 @@
 	// watchers. The share of the second store watcher lies between, so that each
 	// host reads only what the hosts before it have not confirmed.
 	watcherPollShare, otherPollShare = 0.45, 0.65
-	// memberPollShare is the same for members in touch with a delegate, which read
-	// what no delegate has confirmed.
-	memberPollShare = 0.85
-	// triggeredReadShare is the least time between reads that reports of a newer
-	// version trigger, as a share of the time within which a change must be in force:
-	// versions that come in quick succession are read together.
-	triggeredReadShare = 0.15
 	// minPollInterval limits the rate of reads in deployments with short bounds.
 	minPollInterval = 500 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = time.Second
 	// readRetryDelay is the pause after a failed read.
 	readRetryDelay = 300 * time.Millisecond
-	// memberReadRetryDelay is the same for members in touch with a delegate.
-	memberReadRetryDelay = time.Second
 	// readPause is the pause after a successful read.
 	readPause = 100 * time.Millisecond
 	// roleCheckInterval is how often a host checks whether it is a store watcher.
@@ -63,8 +54,6 @@
 	trigger chan struct{}
 	// failing reports whether the last read failed.
 	failing atomic.Bool
-	// readAt is when the last read began. It belongs to run.
-	readAt time.Time
 }
 
 func newPoller(name string, bound time.Duration, age func() (time.Duration, bool), read func(context.Context) error, failed func()) *poller {
@@ -84,11 +73,9 @@
 func (p *poller) run(ctx context.Context, watchersBefore func() int, log *slog.Logger) {
 	source := &dependency{name: p.name, log: log}
 	for ctx.Err() == nil {
-		before := watchersBefore()
-		if (!p.failing.Load() || p.confirmedByDelegate(before)) && !p.waitUntilDue(ctx, before) {
+		if !p.failing.Load() && !p.waitUntilDue(ctx, watchersBefore()) {
 			continue
 		}
-		p.readAt = time.Now()
 		err := p.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -105,9 +92,6 @@
 		case err != nil:
 			p.failed()
 			pause = readRetryDelay
-			if before > storeWatchers {
-				pause = memberReadRetryDelay
-			}
 		}
 		p.failing.Store(err != nil)
 		source.record(err)
@@ -115,13 +99,6 @@
 	}
 }
 
-// confirmedByDelegate reports whether this host is a member whose delegate confirms the
-// source, so that its own failed reads do not matter.
-func (p *poller) confirmedByDelegate(watchersBefore int) bool {
-	age, known := p.age()
-	return watchersBefore > storeWatchers && known && age < p.readInterval(watchersBefore)
-}
-
 // waitUntilDue waits until a read is due and reports whether it is. It returns
 // false after at most roleCheckInterval, so that the caller can check the host's role.
 func (p *poller) waitUntilDue(ctx context.Context, watchersBefore int) bool {
@@ -135,7 +112,7 @@
 	select {
 	case <-ctx.Done():
 	case <-p.trigger:
-		return backing.Pause(ctx, time.Until(p.readAt.Add(time.Duration(triggeredReadShare*float64(p.bound)))))
+		return true
 	case <-timer.C:
 	}
 	return false
@@ -144,9 +121,6 @@
 // readInterval returns the age of a confirmation at which this host reads the
 // source, given the number of store watchers that precede it.
 func (p *poller) readInterval(watchersBefore int) time.Duration {
-	if watchersBefore > storeWatchers {
-		return max(minPollInterval, time.Duration(memberPollShare*float64(p.bound)))
-	}
 	share := watcherPollShare + (otherPollShare-watcherPollShare)*float64(min(watchersBefore, storeWatchers))/storeWatchers
 	return max(minPollInterval, time.Duration(share*float64(p.bound)))
 }
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -32,15 +32,9 @@
 // reachable store watchers precede it by name.
 func (h *Host) watchesStore() bool { return h.watchersBefore() < storeWatchers }
 
-// memberWatchers is the number of store watchers that precede a member that is in touch
-// with its delegate: it reads what no delegate has confirmed either.
-const memberWatchers = storeWatchers + 1
-
-// hasHome reports whether this host is a member that is in touch with its delegate.
-func (h *Host) hasHome() bool {
-	state := h.peerState()
-	return !state.Delegate && len(state.Reachable) > 0
-}
+// memberWatchers is the number of store watchers that precede a member whose delegate
+// is in touch: it confirms for itself what nobody else has confirmed.
+const memberWatchers = storeWatchers
 
 // watchersBefore returns the number of reachable store watchers that precede this
 // host by name.
