--- a/internal/leader/usage_test.go
+++ b/internal/leader/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,8 +139,9 @@
 		store := kv.New(kv.Options{})
 		defer store.Close()
 		counter := NewCounter(window, time.Now)
-		received := true
-		writer := &CountsWriter{IsLeader: falseFunc, ReceivedByLeader: func() bool { return received }, Counter: counter, Store: store.Client("a"), Incarnation: "a-1", Log: discardLog}
+		var received atomic.Bool
+		received.Store(true)
+		writer := &CountsWriter{IsLeader: falseFunc, ReceivedByLeader: received.Load, Counter: counter, Store: store.Client("a"), Incarnation: "a-1", Log: discardLog}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -150,14 +152,14 @@
 			counter.RecordStart("w")
 			time.Sleep(window)
 		}
-		received = false
+		received.Store(false)
 		time.Sleep(leaderGap - saveInterval)
-		received = true
+		received.Store(true)
 		time.Sleep(window)
 		is.Equal(len(store.Record()), 0) // the next leader came in time
 		counter.RecordStart("w")
 		current := counter.CurrentWindow()
-		received = false
+		received.Store(false)
 		time.Sleep(window - time.Second)
 		is.Equal(len(store.Record()), 1) // the current window
 		kv, err := store.Client("b").Get(t.Context(), countsKey(current)+"a-1")
