--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/peer"
@@ -72,7 +73,15 @@
 	log := slog.New(slog.DiscardHandler)
 	x.Host = New(Options{
 		Settings: Settings{Name: name, Domain: domain, PeerAddress: name + ":1", Cores: cores, FirstStart: true},
-		Ports:    Ports{Store: f.store.Client(name), Connections: noConnections{}},
+		Ports: Ports{
+			Store: f.store.Client(name), Connections: noConnections{},
+			Endpoints: EndpointSource{
+				Prefix: "servers/", ID: func(key string) (string, bool) { return key, true },
+				Decode: func(kv backing.KeyValue) (*endpoint.Endpoint, error) {
+					return &endpoint.Endpoint{ID: kv.Key, Service: "s"}, nil
+				},
+			},
+		},
 		Registry: observe.NewRegistry(observe.Identity{}), Log: log,
 		Exchange: func(ctx context.Context, to peer.Entry, out *peer.Snapshot) (*peer.Snapshot, error) {
 			return f.exchange(ctx, x, to, out)
@@ -278,6 +287,50 @@
 	})
 }
 
+// The usage of all hosts reaches the leader, which is a delegate, and the members know
+// that it does. Changes of the registry that a delegate read reach all hosts.
+func TestUsageAndRegistryPassDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 40, 4)
+		ctx, cancel := context.WithCancel(t.Context())
+		var leases sync.WaitGroup
+		for _, x := range f.live() {
+			leases.Go(func() { x.leases.Run(ctx) })
+		}
+		time.Sleep(2 * settlingTime)
+		var leaders []*fleetHost
+		for _, x := range f.live() {
+			x.counter.RecordStart("w")
+			if x.isLeader() {
+				leaders = append(leaders, x)
+			}
+		}
+		is.Equal(len(leaders), 1)
+		is.True(leaders[0].group.State().Delegate)
+		var reader *fleetHost
+		for _, x := range f.live() {
+			if x.group.State().Delegate && x != leaders[0] {
+				reader = x
+			}
+		}
+		reader.applyRead([]backing.Event{{KeyValue: backing.KeyValue{Key: "servers/a", Revision: 5}}})
+		time.Sleep(time.Second)
+		requests := int64(0)
+		for _, counts := range leaders[0].counter.CountsByIncarnation(leaders[0].incarnation, leaders[0].counter.CurrentWindow()) {
+			requests += counts["w"]
+		}
+		is.Equal(requests, int64(len(f.live())))
+		for _, x := range f.live() {
+			is.True(x == leaders[0] || x.leaderReachable())
+			is.Equal(x.registry.view.Sum(), reader.registry.view.Sum())
+		}
+		cancel()
+		leases.Wait()
+		f.end()
+	})
+}
+
 // What one host does reaches all others soon, and what hosts tell each other costs a
 // host little more as the fleet grows.
 func TestExchangeCostAndAge(t *testing.T) {
