gateway, outbound: log and count how an answer ended

`request ended` and `request sent again` now have answer_framing and incomplete_event_bytes; gateway_truncated_answers counts answers that broke off by framing. No change of behaviour.

--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,40 @@
+// Package framing decides whether the body of another process's answer is whole.
+package framing
+
+import "net/http"
+
+// Framing is how an HTTP response states where its body ends.
+type Framing int
+
+const (
+	// Length is a body whose length the header states, or that has none by its status.
+	Length Framing = iota
+	// Chunked is a body in chunks; the last one is empty.
+	Chunked
+	// Connection is a body that ends when its connection does.
+	Connection
+)
+
+// Of returns the framing of a response that net/http has read.
+func Of(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return Length
+	case len(r.TransferEncoding) > 0:
+		return Chunked
+	default:
+		return Connection
+	}
+}
+
+// String returns the framing as logs and metrics name it.
+func (f Framing) String() string {
+	switch f {
+	case Length:
+		return "length"
+	case Chunked:
+		return "chunked"
+	default:
+		return "connection"
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -38,10 +38,11 @@
 // response may still be written to the caller.
 const writeMargin = 2 * time.Second
 
-// errTruncated wraps the cause of a response that cannot be completed. The
-// caller's connection is then closed so that the response does not appear
-// complete.
-func errTruncated(cause error) error {
+// truncated counts an endpoint's response that broke off and returns its error. If
+// the response to the caller has been started, its connection is then closed so that
+// it does not appear complete.
+func (req *request) truncated(reply *Reply, cause error) error {
+	req.gateway.opts.Metrics.Truncated.Add(reply.Framing.String(), 1)
 	return verdict.Wrap(cause, verdict.MayHaveRun, http.StatusBadGateway, "answer_broken", "the answer broke off")
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/framing"
 	"github.com/acacialink/acacialink/internal/placement"
 )
 
@@ -76,7 +77,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes; negative if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Framing is how the response states where its body ends.
+	Framing framing.Framing
+	Body    io.ReadCloser
 	// NotRun reports whether the endpoint declared that it did not run the
 	// request. AddressReassigned reports whether the address now belongs to
 	// another endpoint.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,8 @@
 	// Outcomes counts requests by outcome code. Sends counts sends to endpoints
 	// by outcome.
 	Outcomes, Sends *observe.LabelledCounter
+	// Truncated counts answers of endpoints that broke off, by framing.
+	Truncated *observe.LabelledCounter
 	// FirstEventLatency is the latency of a stream's first event. ResponseLatency is the
 	// latency of a plain response.
 	FirstEventLatency, ResponseLatency *observe.Histogram
@@ -23,6 +25,7 @@
 	return &Metrics{
 		Outcomes:          r.NewLabelledCounter("gateway_outcomes", outcomeLabels),
 		Sends:             r.NewLabelledCounter("gateway_sends", outcomeLabels),
+		Truncated:         r.NewLabelledCounter("gateway_truncated_answers", outcomeLabels),
 		FirstEventLatency: r.NewHistogram("gateway_first_event"),
 		ResponseLatency:   r.NewHistogram("gateway_answer"),
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -84,7 +84,7 @@
 	_, err := io.CopyN(&buffered, reply.Body, responseBufferBytes)
 	overflow := err == nil
 	if err != nil && err != io.EOF { //nolint:errorlint // io.CopyN returns the reader's bare EOF
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_broken", "the endpoint's answer broke off")
+		return req.truncated(reply, err)
 	}
 	req.recordUsage()
 	if reply.Status >= http.StatusInternalServerError && returnFailures {
@@ -107,7 +107,7 @@
 		return writeError(err)
 	}
 	if _, err := io.Copy(req.writer, reply.Body); err != nil {
-		return errTruncated(err)
+		return req.truncated(reply, err)
 	}
 	return nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -327,7 +327,7 @@
 	for {
 		if len(buf) == cap(buf) {
 			if len(buf) >= maxEventBytes {
-				return errTruncated(errEventTooLong)
+				return w.req.truncated(reply, errEventTooLong)
 			}
 			buf = append(buf, 0)[:len(buf)]
 		}
@@ -348,11 +348,14 @@
 			w.stall.progress()
 			buf = buf[:copy(buf, buf[end+len(eventEnd):])]
 		}
+		if err != nil {
+			w.req.logAttrs = append(w.req.logAttrs, slog.String("answer_framing", reply.Framing.String()), slog.Int("incomplete_event_bytes", len(buf)))
+		}
 		if err == io.EOF { //nolint:errorlint // io.Reader returns it bare
 			return w.finish(reply, buf)
 		}
 		if err != nil {
-			return errTruncated(err)
+			return w.req.truncated(reply, err)
 		}
 	}
 }
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/framing"
 )
 
 // Request is one request to an endpoint.
@@ -51,6 +53,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes; negative if unknown.
 	Length int64
+	// Framing is how the response states where its body ends.
+	Framing framing.Framing
 
 	pool    *Pool
 	address string
@@ -161,7 +165,7 @@
 		if r.Accepts == nil || r.Accepts(resp.Header) {
 			c.applyKeepAlive(resp.Header)
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing.Of(resp),
 				pool: p, address: address, conn: c, body: resp.Body, reusable: !resp.Close && r.Deadline.After(time.Now()),
 			}, nil
 		}
