framing, gateway, outbound: a stream that ends inside an event has broken off

Cause: each reader had its own idea of a whole answer. An answer with neither a length nor chunks ends with its connection, so its body reads to io.EOF wherever the engine crashed; the relay took io.EOF for the end of the stream, wrote the half event and closed its own chunked answer properly.

Package framing is now the one place that decides: framing (length, chunks, connection), the error that ended the reading, and for streams the events read so far, with each line end of server-sent events. A stream is whole only behind an event, an answer that ends before it begins is none. The relay then resumes the stream, where the route allows it, or ends the caller's answer without its last chunk.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,9 +87,6 @@
 	req.finish(err)
 }
 
-// errEventTooLong reports an event that exceeds maxEventBytes.
-var errEventTooLong = errors.New("event exceeds the maximum size")
-
 // errCallerGone reports that the caller disconnected. No response is sent.
 var errCallerGone = errors.New("caller disconnected")
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,15 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/acacialink/acacialink/internal/framing"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/verdict"
@@ -309,101 +308,60 @@
 	stall *stallWatch
 }
 
-const (
-	// eventBufferBytes is the initial size of the event buffer.
-	eventBufferBytes = 4 << 10
-	// maxEventBytes is the largest event that is relayed.
-	maxEventBytes = 256 << 10
-)
-
-// eventEnd terminates an event on the wire.
-var eventEnd = []byte("\n\n")
+// maxEventBytes is the largest event that is relayed.
+const maxEventBytes = 256 << 10
 
 // relay writes complete events as they arrive. An event that is cut off when an
 // attempt fails is not written.
 func (w *eventWriter) relay(reply *Reply, flight *placement.Flight) error {
-	buf := make([]byte, 0, eventBufferBytes)
-	first := true
-	for {
-		if len(buf) == cap(buf) {
-			if len(buf) >= maxEventBytes {
-				return w.req.truncated(reply, errEventTooLong)
-			}
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := reply.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if n > 0 && first {
-			first = false
+	events := framing.NewEvents(maxEventBytes)
+	ending := framing.Ending{Framing: reply.Framing}
+	resumed := w.lastID != ""
+	for ending.Err == nil {
+		var n int
+		n, ending.Err = events.Fill(reply.Body)
+		if n > 0 && ending.Bytes == 0 {
 			flight.PrefillDone(time.Now())
 			w.req.recordUsage()
 		}
+		ending.Bytes += int64(n)
 		// Only complete events are progress: an engine may send bytes now and then
 		// without completing one.
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
+		if len(events.Complete()) > 0 {
 			w.stall.pause()
-			if writeErr := w.write(reply, buf[:end+len(eventEnd)]); writeErr != nil {
-				return writeErr
+			if err := w.write(reply, events); err != nil {
+				return err
 			}
 			w.stall.progress()
-			buf = buf[:copy(buf, buf[end+len(eventEnd):])]
-		}
-		if err != nil {
-			w.req.logAttrs = append(w.req.logAttrs, slog.String("answer_framing", reply.Framing.String()), slog.Int("incomplete_event_bytes", len(buf)))
-		}
-		if err == io.EOF { //nolint:errorlint // io.Reader returns it bare
-			return w.finish(reply, buf)
-		}
-		if err != nil {
-			return w.req.truncated(reply, err)
 		}
 	}
-}
-
-// finish completes the stream after the endpoint's response ended without an
-// error.
-func (w *eventWriter) finish(reply *Reply, rest []byte) error {
-	if len(rest) == 0 && w.headerWritten {
-		return nil
+	w.req.logAttrs = append(w.req.logAttrs, slog.String("answer_framing", reply.Framing.String()), slog.Int("incomplete_event_bytes", events.Incomplete()))
+	if err := ending.Stream(events, resumed); err != nil {
+		return w.req.truncated(reply, err)
 	}
-	return w.write(reply, rest)
+	return nil
 }
 
-// write sends complete events to the caller, after the response header if it
-// has not been written yet.
-func (w *eventWriter) write(reply *Reply, events []byte) error {
+// write sends the complete events to the caller, after the response header if it has
+// not been written yet.
+func (w *eventWriter) write(reply *Reply, events *framing.Events) error {
 	if !w.headerWritten {
 		w.headerWritten = true
 		w.req.firstLatency = time.Since(w.req.start)
 		w.req.gateway.opts.Metrics.FirstEventLatency.Record(w.req.firstLatency)
 		w.req.writeHeader(reply, -1)
 	}
-	if id, ok := lastEventID(events); ok {
+	if id, ok := events.LastID(); ok {
 		w.lastID = id
 	}
-	if _, err := w.req.writer.Write(events); err != nil {
+	if _, err := w.req.writer.Write(events.Complete()); err != nil {
 		w.failed = true
 		return writeError(err)
 	}
+	events.Take()
 	if err := http.NewResponseController(w.req.writer).Flush(); err != nil {
 		w.failed = true
 		return writeError(err)
 	}
 	return nil
 }
-
-// lastEventID returns the ID of the last event that has one, or false if none
-// has.
-func lastEventID(events []byte) (string, bool) {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		events = events[at+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return "", false
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
-}
