gateway: a caller that knows no chunks sees a broken answer by a reset

An HTTP/1.0 caller gets a stream that ends with its connection. When an engine broke off, the connection was closed like after a whole answer, and the caller could not tell. Its connection is now reset.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -63,15 +63,14 @@
 }
 
 // finish logs the request and sends the error response if no response has been
-// started. If one has been started, or the caller is gone, it panics with
-// http.ErrAbortHandler to close the connection.
+// started. If one has been started, or the caller is gone, it aborts the connection.
 func (req *request) finish(err error) {
 	req.logOutcome(err)
 	if err == nil {
 		return
 	}
 	if req.headerWritten || errors.Is(err, errCallerGone) {
-		panic(http.ErrAbortHandler)
+		req.abort()
 	}
 	failure := verdict.As(err)
 	header := req.writer.Header()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	gateway *Gateway
 	call    *Call
 	writer  http.ResponseWriter
+	// knowsChunks reports whether the caller's protocol has chunked bodies.
+	knowsChunks bool
 	// start is the time at which the request arrived at the host, as far as can be
 	// told.
 	start time.Time
@@ -79,7 +81,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	req := &request{gateway: g, writer: w, start: time.Now().Add(-g.opts.SchedulingDelay()), excluded: make(map[string]bool)}
+	req := &request{gateway: g, writer: w, knowsChunks: r.ProtoAtLeast(1, 1), start: time.Now().Add(-g.opts.SchedulingDelay()), excluded: make(map[string]bool)}
 	if _, terminating := g.opts.Terminating(); terminating {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/truncation_test.go
+++ b/internal/gateway/truncation_test.go
@@ -271,3 +271,48 @@
 		})
 	}
 }
+
+func TestBrokenOffStreamResetsCallerThatKnowsNoChunks(t *testing.T) {
+	f := newFixture(t).configure()
+	f.quota.unlimited = true
+	e := startCuttingEndpoint(t, f)
+	server := httptest.NewServer(f.gateway)
+	defer server.Close()
+	events := eventStreams["LF"]
+	stream := strings.Join(events, "")
+	cuts(stream, func(a cutAnswer, whole bool) {
+		e.answer = func(int64, string) cutAnswer { return a }
+		status, body, complete := receive(t, server, "/stream/x", "HTTP/1.0")
+		if complete && status == http.StatusOK && body != stream && !(a.framing == framing.Connection && !a.reset && isEventEnd(events, a.bytes)) {
+			t.Errorf("complete, but only %q: %s", body, a)
+		}
+		if whole && !a.reset && !(complete && body == stream) {
+			t.Errorf("whole, but %d %q: %s", status, body, a)
+		}
+	})
+}
+
+func TestBrokenOffBodyIsNotDeliveredAsComplete(t *testing.T) {
+	const text = "{\"state\": \"žluť\"}"
+	for _, path := range []string{"/once/x", "/read/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t).configure()
+			e := startCuttingEndpoint(t, f)
+			server := httptest.NewServer(f.gateway)
+			defer server.Close()
+			for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+				cuts(text, func(a cutAnswer, whole bool) {
+					e.answer = func(int64, string) cutAnswer { return a }
+					status, body, complete := receive(t, server, path, protocol)
+					closed := a.framing == framing.Connection && !a.reset && a.bytes > 0
+					if complete && status == http.StatusOK && body != text && !closed {
+						t.Errorf("complete, but only %q: %s", body, a)
+					}
+					if whole && !a.reset && !(complete && status == http.StatusOK && body == text) {
+						t.Errorf("whole, but %d %q: %s", status, body, a)
+					}
+				})
+			}
+		})
+	}
+}
