backing: the agent's readers of answers use framing's decision

An answer without a length that closed before its first byte became an empty 200; a KV cache without a length could be cut anywhere and was imported as whole (a wrong answer for its prompt); an encrypted connection closed without close_notify looked like the end of the answer.

Services, engines, store and API calls now read bodies through framing. The KV cache needs a length or chunks, since its bytes do not tell their end; the prompt is then prefilled again. Connections note a close that the peer did not announce.

--- a/internal/backing/call_http.go
+++ b/internal/backing/call_http.go
@@ -8,10 +8,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/framing"
 )
 
 // maxResponseBytes limits the response body of a platform service, in bytes.
@@ -67,53 +68,65 @@
 	if body != nil {
 		header = http.Header{"Content-Type": {contentType}}
 	}
-	status, respBody, err := c.Do(ctx, method, path, header, body)
+	response, err := c.exchange(ctx, method, path, header, body)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, decodeError(status, respBody)
+	if response.status != http.StatusOK {
+		return nil, decodeError(response.status, response.body)
 	}
-	return respBody, nil
+	return response.body, nil
+}
+
+// response is a whole response.
+type response struct {
+	status  int
+	framing framing.Framing
+	body    []byte
 }
 
 // Do sends one request and returns the response, whatever its status. The error
 // is ErrUnavailable if no byte was sent, and ErrUnknown if the response was lost.
 func (c Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (status int, respBody []byte, err error) {
+	r, err := c.exchange(ctx, method, path, header, body)
+	return r.status, r.body, err
+}
+
+// exchange is Do with the framing of the response.
+func (c Caller) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
 	req, sent, err := newRequest(ctx, method, c.base+path, body)
 	if err != nil {
-		return 0, nil, err
+		return response{}, err
 	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return 0, nil, c.handleTransportError(sent, err)
+		return response{}, c.handleTransportError(sent, err)
 	}
 	defer resp.Body.Close()
-	respBody, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	respBody, err := io.ReadAll(io.LimitReader(framing.NewBody(resp, sent.unannouncedClose), maxResponseBytes+1))
 	if err != nil {
-		return 0, nil, c.handleTransportError(sent, err)
+		return response{}, c.handleTransportError(sent, err)
 	}
 	if len(respBody) > maxResponseBytes {
-		return 0, nil, errors.Wrap(ErrUnknown, "answer above the limit")
+		return response{}, errors.Wrap(ErrUnknown, "answer above the limit")
 	}
-	return resp.StatusCode, respBody, nil
+	return response{status: resp.StatusCode, framing: framing.Of(resp), body: respBody}, nil
 }
 
 // handleTransportError maps a transport error and closes idle connections, which
 // may be broken like the one that failed.
-func (c Caller) handleTransportError(sent *atomic.Bool, cause error) error {
+func (c Caller) handleTransportError(sent *transmission, cause error) error {
 	c.client.CloseIdleConnections()
 	return transportError(sent, cause)
 }
 
-// newRequest returns a request that the transport cannot resend, and a flag that
-// is set once a connection is assigned, before any byte can have been sent.
-func newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, *atomic.Bool, error) {
-	sent := new(atomic.Bool)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+// newRequest returns a request that the transport cannot resend, and its transmission.
+func newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, *transmission, error) {
+	sent := new(transmission)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.conn.Store(&info.Conn) }}
 	var reqBody io.Reader = http.NoBody
 	if len(body) > 0 {
 		reqBody = bytes.NewReader(body)
@@ -127,8 +140,8 @@
 }
 
 // transportError returns ErrUnavailable if no byte was sent, else ErrUnknown.
-func transportError(sent *atomic.Bool, cause error) error {
-	if sent.Load() {
+func transportError(sent *transmission, cause error) error {
+	if sent.started() {
 		return &callError{kind: ErrUnknown, cause: cause}
 	}
 	return &callError{kind: ErrUnavailable, cause: cause}
--- a/internal/backing/engine_http.go
+++ b/internal/backing/engine_http.go
@@ -6,6 +6,10 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/framing"
 )
 
 const (
@@ -64,8 +68,17 @@
 func (e *HTTPEngine) ExportKV(ctx context.Context, id string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
 	defer cancel()
-	value, err := e.caller.doOK(ctx, http.MethodGet, "/v1/kv/"+url.PathEscape(id), "", nil)
-	return value, AsReadError(err)
+	r, err := e.caller.exchange(ctx, http.MethodGet, "/v1/kv/"+url.PathEscape(id), nil, nil)
+	switch {
+	case err != nil:
+		return nil, AsReadError(err)
+	case r.status != http.StatusOK:
+		return nil, AsReadError(decodeError(r.status, r.body))
+	case r.framing == framing.Connection:
+		// The bytes of a cache do not tell where they end.
+		return nil, errors.Wrap(ErrUnavailable, "the KV cache came without a length")
+	}
+	return r.body, nil
 }
 
 // ImportKV implements Engine.
--- a/internal/backing/generate_http.go
+++ b/internal/backing/generate_http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acacialink/acacialink/internal/framing"
 )
 
 const (
@@ -46,7 +48,7 @@
 		return Finish{}, decodeError(resp.StatusCode, errBody)
 	}
 	stream := generateStream{nextIndex: g.Resume, idleTimer: idleTimer, emit: emit}
-	finish, err := stream.read(resp.Body)
+	finish, err := stream.read(framing.NewBody(resp, sent.unannouncedClose))
 	if err != nil && stream.broken {
 		e.caller.client.CloseIdleConnections()
 		return Finish{}, &callError{kind: ErrUnknown, cause: cancelCause(ctx, err)}
--- a/internal/backing/service_http.go
+++ b/internal/backing/service_http.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/endtoend"
+	"github.com/acacialink/acacialink/internal/framing"
 )
 
 const (
@@ -59,7 +60,7 @@
 		return ServiceResponse{}, s.caller.handleTransportError(sent, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(framing.NewBody(resp, sent.unannouncedClose), maxServiceBodyBytes+1))
 	if err != nil {
 		return ServiceResponse{}, s.caller.handleTransportError(sent, err)
 	}
--- a/internal/backing/transport_http.go
+++ b/internal/backing/transport_http.go
@@ -1,6 +1,7 @@
 package backing
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -34,8 +35,15 @@
 			Count:    keepAliveCount,
 		},
 	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &closeObserver{Conn: conn}, nil
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
--- a/internal/framing/ending.go
+++ b/internal/framing/ending.go
@@ -22,6 +22,9 @@
 	Err error
 	// Bytes is the number of bytes of the body.
 	Bytes int64
+	// Unannounced reports that the connection is encrypted and was closed by whoever
+	// carries it, not by the peer (TLS close_notify).
+	Unannounced bool
 }
 
 // Body returns nil if the body is whole. A connection that closes before the first
@@ -32,6 +35,8 @@
 		return e.Err
 	case e.Framing == Connection && e.Bytes == 0:
 		return ErrEmpty
+	case e.Framing == Connection && e.Unannounced:
+		return io.ErrUnexpectedEOF
 	default:
 		return nil
 	}
@@ -57,14 +62,16 @@
 // body reads a response's body and returns io.EOF only if it is whole as one body.
 type body struct {
 	io.ReadCloser
-	framing Framing
-	bytes   int64
+	framing     Framing
+	bytes       int64
+	unannounced func() bool
 }
 
 // NewBody returns the body of a response that net/http has read. Its Read returns
-// io.EOF only if the body is whole.
-func NewBody(r *http.Response) io.ReadCloser {
-	return &body{ReadCloser: r.Body, framing: Of(r)}
+// io.EOF only if the body is whole. unannounced returns Ending.Unannounced at the end
+// of the body; nil for connections that are not encrypted.
+func NewBody(r *http.Response, unannounced func() bool) io.ReadCloser {
+	return &body{ReadCloser: r.Body, framing: Of(r), unannounced: unannounced}
 }
 
 // Read implements io.Reader.
@@ -74,7 +81,8 @@
 	if err == nil {
 		return n, nil
 	}
-	if broken := (Ending{Framing: b.framing, Err: err, Bytes: b.bytes}).Body(); broken != nil {
+	ending := Ending{Framing: b.framing, Err: err, Bytes: b.bytes, Unannounced: b.unannounced != nil && b.unannounced()}
+	if broken := ending.Body(); broken != nil {
 		return n, broken
 	}
 	return n, io.EOF
--- a/internal/framing/ending_test.go
+++ b/internal/framing/ending_test.go
@@ -10,6 +10,15 @@
 	"github.com/matryer/is"
 )
 
+func TestResponseToHeadRequestIsWhole(t *testing.T) {
+	is := is.New(t)
+	text := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodHead})
+	is.NoErr(err)
+	_, err = io.ReadAll(NewBody(r, nil))
+	is.NoErr(err)
+}
+
 func TestBodyIsWholeOnlyAsItsFramingSays(t *testing.T) {
 	for text, want := range map[string]error{
 		"Content-Length: 3\r\n\r\nabc":                             nil,
@@ -25,7 +34,7 @@
 		is := is.New(t)
 		r, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+text)), nil)
 		is.NoErr(err)
-		_, err = io.ReadAll(NewBody(r))
+		_, err = io.ReadAll(NewBody(r, nil))
 		is.Equal(err, want)
 	}
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -7,7 +7,8 @@
 type Framing int
 
 const (
-	// Length is a body whose length the header states, or that has none by its status.
+	// Length is a body whose length the header states, or that the request's method or
+	// the status excludes.
 	Length Framing = iota
 	// Chunked is a body in chunks; the last one is empty.
 	Chunked
@@ -18,7 +19,7 @@
 // Of returns the framing of a response that net/http has read.
 func Of(r *http.Response) Framing {
 	switch {
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0, r.Body == http.NoBody, r.Request != nil && r.Request.Method == http.MethodHead:
 		return Length
 	case len(r.TransferEncoding) > 0:
 		return Chunked
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -166,7 +166,7 @@
 			c.applyKeepAlive(resp.Header)
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing.Of(resp),
-				pool: p, address: address, conn: c, body: framing.NewBody(resp), reusable: !resp.Close && r.Deadline.After(time.Now()),
+				pool: p, address: address, conn: c, body: framing.NewBody(resp, nil), reusable: !resp.Close && r.Deadline.After(time.Now()),
 			}, nil
 		}
 		if resp.Close {
--- a/internal/rpc/session_test.go
+++ b/internal/rpc/session_test.go
@@ -58,8 +58,12 @@
 
 // startAgent serves the agent on a loopback port until the test ends and returns
 // its address.
-func startAgent(tb testing.TB, agent *fakeAgent) string {
+func startAgent(tb testing.TB, agent wire.DRPCAgentServer) string {
 	tb.Helper()
+	var opts Options
+	if fake, ok := agent.(*fakeAgent); ok {
+		opts = fake.opts
+	}
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterAgent(mux, agent); err != nil {
 		tb.Fatal(err)
@@ -72,7 +76,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = NewServer(mux, nil, agent.opts).Serve(ctx, listener)
+		_ = NewServer(mux, nil, opts).Serve(ctx, listener)
 	}()
 	tb.Cleanup(func() {
 		cancel()
