entry: a service's response states its length

Before: TestServiceResponseCutOffOnItsWayIsNotTakenAsWhole failed on HTTP/1.0 at half of the bytes. After: it passes on both protocols.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/acacialink/acacialink/internal/endtoend"
@@ -127,6 +128,12 @@
 		h[name] = values
 	}
 	h.Set(verdict.Header, verdict.Ran.String())
+	if len(response.Body) > 0 {
+		// With a length the caller sees whether the response is whole, on any protocol.
+		h.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	if _, err := w.Write(response.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
