gateway: an engine that breaks off its error response is avoided

Such a response to a stream's request ended the flight as done, so the same engine got the next request; a reset of a stream avoids it.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -266,11 +266,17 @@
 	}
 	defer reply.Body.Close()
 	if reply.Status != http.StatusOK {
-		flight.Done()
 		if out.headerWritten || reply.Status >= http.StatusInternalServerError && req.repeatable() && req.possibleRuns < req.route.Attempts {
+			flight.Done()
 			return verdict.New(verdict.Ran, http.StatusBadGateway, "endpoint_failed", "the endpoint failed the request")
 		}
-		return req.relayBuffered(reply, false)
+		err := req.relayBuffered(reply, false)
+		if err != nil && ctx.Err() == nil && !errors.Is(err, errCallerGone) {
+			flight.Failed(time.Now())
+			return err
+		}
+		flight.Done()
+		return err
 	}
 	if !reply.Authentic {
 		flight.Failed(time.Now())
--- a/internal/gateway/truncation_test.go
+++ b/internal/gateway/truncation_test.go
@@ -316,3 +316,17 @@
 		})
 	}
 }
+
+func TestEngineThatBreaksOffErrorIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).configure()
+	f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+		r := truncatedReply("own fail")
+		r.Status = http.StatusInternalServerError
+		return r, nil
+	}
+	for range 2 {
+		f.serve("/stream/x", "Prompt", "50")
+	}
+	is.True(f.sends[0].Endpoint.ID != f.sends[1].Endpoint.ID)
+}
