gateway, placement: log what was on an engine that was lost

A request under which an engine was lost now logs its shared segments, the streams and tokens that all hosts had there, and how long its answer had begun. No change of behaviour.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,7 +86,7 @@
 		flight := req.gateway.opts.Tracker.Begin(time.Now(), plan.Decode, plan, job)
 		dispatch := req.newDispatch(plan.Decode)
 		dispatch.FetchFrom = plan.FetchFrom
-		return req.runGeneration(ctx, dispatch, flight, out, plan.FirstEvent)
+		return req.runGeneration(ctx, dispatch, flight, job, out, plan.FirstEvent)
 	}
 	prefilled, err := req.prefill(ctx, plan, job)
 	if err != nil {
@@ -105,7 +105,7 @@
 	flight := req.gateway.opts.Tracker.BeginDecode(time.Now(), plan.Decode, job)
 	dispatch := req.newDispatch(plan.Decode)
 	dispatch.CacheSource = prefilled.CacheSource
-	err = req.runGeneration(ctx, dispatch, flight, out, 0)
+	err = req.runGeneration(ctx, dispatch, flight, job, out, 0)
 	switch {
 	case err == nil:
 		req.gateway.opts.Tracker.CacheFetched(plan.Prefill)
@@ -237,7 +237,17 @@
 // runGeneration sends the generation request and relays its events. An attempt that
 // stalls is canceled, if the stream can be resumed elsewhere. predicted is the
 // predicted time to the first event.
-func (req *request) runGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, out *eventWriter, predicted time.Duration) error {
+func (req *request) runGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, job *placement.Job, out *eventWriter, predicted time.Duration) error {
+	out.begun = time.Time{}
+	err := req.attemptGeneration(ctx, dispatch, flight, out, predicted)
+	if ctx.Err() == nil && engineLost(err) {
+		req.logLoss(dispatch.Endpoint, job, out.begun)
+	}
+	return err
+}
+
+// attemptGeneration is runGeneration without what follows the loss of the engine.
+func (req *request) attemptGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, out *eventWriter, predicted time.Duration) error {
 	dispatch.LastEventID = out.lastID
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -310,6 +320,9 @@
 	failed bool
 	// lastID is the ID of the last event written; empty for none.
 	lastID string
+	// begun is when the first bytes of the current attempt's answer came; zero if none
+	// did.
+	begun time.Time
 	// stall ends the current attempt when it makes no progress; nil for no watch.
 	stall *stallWatch
 }
@@ -327,7 +340,8 @@
 		var n int
 		n, ending.Err = events.Fill(reply.Body)
 		if n > 0 && ending.Bytes == 0 {
-			flight.PrefillDone(time.Now())
+			w.begun = time.Now()
+			flight.PrefillDone(w.begun)
 			w.req.recordUsage()
 		}
 		ending.Bytes += int64(n)
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -46,7 +46,7 @@
 	if f.decodes {
 		tokens += job.OutputTokens
 	}
-	t.recordDispatch(now, state, DispatchRecord{Engine: e.ID, Segments: job.sharedSegmentHashes(), ReadyIn: p.FirstEvent, Tokens: int64(tokens)})
+	t.recordDispatch(now, state, DispatchRecord{Engine: e.ID, Segments: job.SharedSegments(), ReadyIn: p.FirstEvent, Tokens: int64(tokens)})
 	return f
 }
 
@@ -61,7 +61,9 @@
 	t.all.Append(d)
 }
 
-func (j *Job) sharedSegmentHashes() []uint64 {
+// SharedSegments returns the hashes of the prompt's segments that other requests may
+// share: all but the last.
+func (j *Job) SharedSegments() []uint64 {
 	if len(j.Segments) < 2 {
 		return nil
 	}
@@ -81,7 +83,7 @@
 	f := &Flight{tracker: t, engine: state, stage: e.Stage, startedAt: now, kvTokens: job.PromptTokens + job.OutputTokens, decodes: true, prefillDone: true}
 	state.flights[f] = struct{}{}
 	cached, _ := state.cachedTokens(now, job.Segments, 0)
-	t.recordDispatch(now, state, DispatchRecord{Engine: e.ID, Segments: job.sharedSegmentHashes(), Tokens: int64(max(0, job.PromptTokens-cached) + job.OutputTokens)})
+	t.recordDispatch(now, state, DispatchRecord{Engine: e.ID, Segments: job.SharedSegments(), Tokens: int64(max(0, job.PromptTokens-cached) + job.OutputTokens)})
 	return f
 }
 
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// LoadOn returns the load of all hosts on an engine.
+func (t *Tracker) LoadOn(now time.Time, id string) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load(now, id)
+}
+
 // removePeer drops a report from the sum. The caller holds mu.
 func (t *Tracker) removePeer(host string) {
 	for id, l := range t.peers[host].engines {
