updatelog, placement: one relay of updates for all who hand them on

The tracker's bookkeeping of own and received dispatches moves to updatelog.Relay, for the evidence on crashes to use as well.

--- a/internal/gateway/loss_test.go
+++ b/internal/gateway/loss_test.go
@@ -34,7 +34,9 @@
 	f := newFixture(t).configure()
 	var log bytes.Buffer
 	f.gateway.opts.Log, f.gateway.opts.Ingress = slog.New(slog.NewTextHandler(&log, nil)), segmentIngress{}
-	f.send = func(int, context.Context, *Dispatch) (*Reply, error) { return truncatedReply("id: 1\ndata: a\n\n"), nil }
+	f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+		return truncatedReply("id: 1\ndata: a\n\n"), nil
+	}
 	f.serve("/stream/x", "Prompt", "50", "Segments", "5c1e07a2 91bd3f06 e4402b7d")
 	is.True(strings.Contains(log.String(), `msg="engine lost under a request"`))
 	is.True(strings.Contains(log.String(), `segments="[5c1e07a2 91bd3f06]"`)) // not the request's own
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -57,8 +57,7 @@
 	for _, h := range d.Segments {
 		state.addSegment(now, now.Add(d.ReadyIn), h)
 	}
-	t.own.Append(d)
-	t.all.Append(d)
+	t.dispatches.Append(d)
 }
 
 // SharedSegments returns the hashes of the prompt's segments that other requests may
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -47,12 +47,9 @@
 	peerExpiry time.Time
 	// rates holds the observed prefill rates.
 	rates map[endpoint.Stage]*rate
-	// own holds the dispatches of this host and of those that report to it. all
-	// holds in addition those received from other hosts.
-	own, all *updatelog.Log[DispatchRecord]
-	// applied is the sequence number of the next dispatch expected from each
-	// sender, so that a dispatch that is delivered twice counts once.
-	applied map[string]int64
+	// dispatches holds the dispatches of this host, of those that report to it, and
+	// those received from other hosts.
+	dispatches *updatelog.Relay[DispatchRecord]
 	// stageChanges holds the engines that are changing their stage and when the
 	// change ends.
 	stageChanges map[string]time.Time
@@ -115,8 +112,7 @@
 func NewTracker(c Costs) *Tracker {
 	return &Tracker{
 		costs: c, engines: make(map[string]*engineState), peers: make(map[string]peerLoad), peerSum: make(map[string]Load),
-		stageChanges: make(map[string]time.Time), applied: make(map[string]int64),
-		own: updatelog.New[DispatchRecord](maxDispatches), all: updatelog.New[DispatchRecord](maxDispatches),
+		stageChanges: make(map[string]time.Time), dispatches: updatelog.NewRelay[DispatchRecord](maxDispatches),
 		rates: map[endpoint.Stage]*rate{
 			endpoint.StagePrefill: {tokensPerMS: c.PrefillRate},
 			endpoint.StageDecode:  {tokensPerMS: c.DecodeRate},
@@ -252,7 +248,7 @@
 func (t *Tracker) OwnDispatchesSince(seq int64) DispatchBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return newDispatchBatch(t.own.Since(seq))
+	return newDispatchBatch(t.dispatches.OwnSince(seq))
 }
 
 // AllDispatchesSince returns the retained dispatches of all hosts but one from a
@@ -260,7 +256,7 @@
 func (t *Tracker) AllDispatchesSince(seq int64, except string) DispatchBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	batch := newDispatchBatch(t.all.Since(seq))
+	batch := newDispatchBatch(t.dispatches.AllSince(seq))
 	batch.Records = slices.DeleteFunc(batch.Records, func(d DispatchRecord) bool { return d.Origin == except })
 	return batch
 }
@@ -288,22 +284,13 @@
 func (t *Tracker) AddPeerDispatches(now time.Time, host, incarnation string, batch DispatchBatch, relay bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	records := batch.Records
-	if skip := t.applied[incarnation] - batch.First; skip > 0 {
-		records = records[min(skip, int64(len(records))):]
-	}
-	if len(t.applied) >= maxSenders {
-		clear(t.applied)
-	}
-	t.applied[incarnation] = max(t.applied[incarnation], batch.Next)
-	for _, d := range records {
-		if d.Origin == "" {
-			d.Origin = host
-		}
-		t.all.Append(d)
-		if relay {
-			t.own.Append(d)
+	records := slices.Clone(batch.Records)
+	for i := range records {
+		if records[i].Origin == "" {
+			records[i].Origin = host
 		}
+	}
+	for _, d := range t.dispatches.Receive(incarnation, batch.First, batch.Next, records, relay) {
 		if state := t.engines[d.Engine]; state != nil {
 			state.addedTokens += d.Tokens
 			for _, h := range d.Segments {
@@ -332,9 +319,6 @@
 	t.removePeer(host)
 }
 
-// maxSenders bounds the senders of dispatches that are told apart.
-const maxSenders = 4096
-
 const (
 	// segmentTTL is how long a segment is assumed to stay in an engine's cache
 	// without being used.
