host: a test of segments that crash engines, in a fleet; it fails

Fleets of 5, 30 and 100 hosts in virtual time get 4 requests a second whose prompts hold a segment that crashes the engine that begins to answer them, beside sound ones that share the first segment and subjects.

--- /dev/null
+++ b/internal/host/deadly_segment_test.go
@@ -0,0 +1,123 @@
+package host
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Bounds of the users' rules.
+const (
+	contactTime    = 3 * time.Second
+	countedCrashes = 5
+	maxLateSends   = 3
+)
+
+const (
+	commonSegment = 1
+	deadlySegment = 2
+	firstSubject  = 100
+)
+
+// callerCounts counts what callers of sound requests got.
+type callerCounts struct {
+	mu           sync.Mutex
+	sent, served int
+}
+
+func (c *callerCounts) add(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	if status == http.StatusOK {
+		c.served++
+	}
+}
+
+func (c *callerCounts) share() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.served) / float64(max(1, c.sent))
+}
+
+// Requests with a segment that crashes the engines that begin to answer them come at any
+// host, with the first segment and the subjects of sound requests. The fleet stops to
+// send them, and the sound ones are served.
+func TestDeadlySegmentIsHeldBack(t *testing.T) {
+	for _, size := range []struct{ hosts, domains, prefill, decode int }{{5, 3, 4, 3}, {30, 3, 8, 10}, {100, 5, 20, 30}} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d hosts, seed %d", size.hosts, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newEngineFleet(t, size.hosts, size.domains, size.prefill, size.decode)
+					f.deadly[deadlySegment] = true
+					time.Sleep(settlingTime)
+					var before, after callerCounts
+					rate := 8 * float64(size.decode)
+					f.play(seed, 4*time.Second, rate, 0, &before)
+					f.play(seed+100, 12*time.Second, rate, 4, nil)
+					late := f.lateArrivals()
+					f.play(seed+200, 12*time.Second, rate, 4, &after)
+					late = max(late, f.lateArrivals())
+					t.Logf("%d crashes, %d requests sent late; served %.3f of the sound ones before, %.3f at the end", len(f.crashes), late, before.share(), after.share())
+					if late > maxLateSends {
+						t.Errorf("%d requests with the segment were sent %s after the crash number %d", late, contactTime, countedCrashes)
+					}
+					if after.share() < before.share()/2 {
+						t.Errorf("%.3f of the sound requests are served, %.3f before", after.share(), before.share())
+					}
+					f.end()
+				})
+			})
+		}
+	}
+}
+
+// play sends sound requests, and deadly ones, at random hosts for a time; rates are a
+// second.
+func (f *engineFleet) play(seed uint64, d time.Duration, rate, deadlyRate float64, sound *callerCounts) {
+	rng := rand.New(rand.NewPCG(seed, 5)) //nolint:gosec // a fixed seed
+	var requests sync.WaitGroup
+	end := time.Now().Add(d)
+	for {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / (rate + deadlyRate)))
+		if time.Now().After(end) {
+			break
+		}
+		hosts := f.live()
+		x := hosts[rng.IntN(len(hosts))]
+		subject := firstSubject + uint64(rng.ExpFloat64()*10) //nolint:gosec // not negative
+		own := rng.Uint64()
+		if rng.Float64() < deadlyRate/(rate+deadlyRate) {
+			requests.Go(func() { f.request(x, commonSegment, subject, deadlySegment, own) })
+			continue
+		}
+		requests.Go(func() {
+			status := f.request(x, commonSegment, subject, own)
+			if sound != nil {
+				sound.add(status)
+			}
+		})
+	}
+	requests.Wait()
+}
+
+// lateArrivals returns the number of requests with a deadly segment that reached engines
+// later than contactTime after the fifth crash.
+func (f *engineFleet) lateArrivals() int {
+	f.engineMu.Lock()
+	defer f.engineMu.Unlock()
+	if len(f.crashes) < countedCrashes {
+		return 0
+	}
+	late := 0
+	for _, at := range f.arrivals {
+		if at.Sub(f.crashes[countedCrashes-1]) > contactTime {
+			late++
+		}
+	}
+	return late
+}
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -27,6 +27,8 @@
 	t     *testing.T
 	store *kv.Store
 	hosts []*fleetHost
+	// customize changes the options of hosts that start; nil for none.
+	customize func(o *Options)
 
 	mu sync.Mutex // guards the fields below and the mutable fields of hosts
 	// byAddress holds the hosts by their address.
@@ -55,8 +57,11 @@
 
 var errNoAnswer = errors.New("no answer")
 
-func newFleet(t *testing.T, hosts, domains int) *fleet {
-	f := &fleet{t: t, store: kv.New(kv.Options{}), byAddress: make(map[string]*fleetHost), sentBytes: make(map[string]int), sentMessages: make(map[string]int)}
+func newFleet(t *testing.T, hosts, domains int) *fleet { return newCustomFleet(t, hosts, domains, nil) }
+
+// newCustomFleet returns a fleet whose hosts have customized options.
+func newCustomFleet(t *testing.T, hosts, domains int, customize func(o *Options)) *fleet {
+	f := &fleet{t: t, store: kv.New(kv.Options{}), customize: customize, byAddress: make(map[string]*fleetHost), sentBytes: make(map[string]int), sentMessages: make(map[string]int)}
 	for i := range hosts {
 		f.start(fmt.Sprintf("host-%03d", i), fmt.Sprintf("domain-%d", i%domains), i)
 	}
@@ -71,7 +76,7 @@
 	}
 	x := &fleetHost{name: name, domain: domain}
 	log := slog.New(slog.DiscardHandler)
-	x.Host = New(Options{
+	opts := Options{
 		Settings: Settings{Name: name, Domain: domain, PeerAddress: name + ":1", Cores: cores, FirstStart: true},
 		Ports: Ports{
 			Store: f.store.Client(name), Connections: noConnections{},
@@ -86,7 +91,11 @@
 		Exchange: func(ctx context.Context, to peer.Entry, out *peer.Snapshot) (*peer.Snapshot, error) {
 			return f.exchange(ctx, x, to, out)
 		},
-	})
+	}
+	if f.customize != nil {
+		f.customize(&opts)
+	}
+	x.Host = New(opts)
 	f.mu.Lock()
 	f.byAddress[name+":1"] = x
 	f.hosts = append(f.hosts, x)
