suspect, gateway, host: segments that crash engines are found and held back

Cause: a request that is deadly for engines was taken for an unlucky one. It was sent to a second engine, the next one like it to a third, and no host learned from the ends, its own or others'.

Package suspect holds the evidence: which requests were beginning on an engine when it crashed (a probe tells a crash from a lost connection), with which shared segments, and which segments were answered since. The verdict is a pure function of it: segments that explain the crashes that nothing else explains. A request with such a segment is refused at once as not run (segment_held), also between prefill and decode and before a retry; a request that may have crashed an engine is not sent to a second one.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,8 +113,15 @@
 	Prefill(ctx context.Context, c *Call, d *Dispatch) (Prefilled, error)
 	// Release frees a KV cache that will not be fetched.
 	Release(ctx context.Context, e *endpoint.Endpoint, p Prefilled) error
+	// Probe opens a connection to the endpoint and sends nothing. It returns
+	// ErrEndpointDown if no process accepts connections there, and any other error if
+	// that cannot be told.
+	Probe(ctx context.Context, e *endpoint.Endpoint) error
 }
 
+// ErrEndpointDown reports that no process accepts connections at an endpoint's address.
+var ErrEndpointDown = errors.New("endpoint accepts no connections")
+
 // MalformedError reports a request whose header values cannot be parsed.
 type MalformedError struct {
 	// Code is a stable identifier. Message is one lower-case sentence.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/acacialink/acacialink/internal/lease"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/suspect"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -31,6 +32,8 @@
 	quota     *fakeQuota
 	usage     fakeUsage
 	// remaining and terminating are the results of Options.Terminating.
+	// leads is the result of Options.Leads.
+	leads       bool
 	remaining   time.Duration
 	terminating bool
 	// delay is the result of Options.SchedulingDelay.
@@ -45,6 +48,8 @@
 	ctx context.Context
 	// wrap wraps the writer of responses; nil for none.
 	wrap func(http.ResponseWriter) http.ResponseWriter
+	// probe is the result of every probe.
+	probe error
 	// prefill handles every prefill.
 	prefill func(ctx context.Context, d *Dispatch) (Prefilled, error)
 }
@@ -102,6 +107,8 @@
 	return f.prefill(ctx, d)
 }
 
+func (f *fixture) Probe(context.Context, *endpoint.Endpoint) error { return f.probe }
+
 func (f *fixture) Release(context.Context, *endpoint.Endpoint, Prefilled) error { return nil }
 
 func newFixture(t *testing.T) *fixture {
@@ -111,7 +118,8 @@
 	f.prefill = func(context.Context, *Dispatch) (Prefilled, error) { return Prefilled{CacheSource: "cache"}, nil }
 	f.gateway = New(Options{
 		Ingress: testIngress{}, Sender: f, Catalog: f.catalog, Endpoints: f.endpoints,
-		Tracker: placement.NewTracker(placement.DefaultCosts()), Quota: f.quota, Usage: &f.usage,
+		Tracker: placement.NewTracker(placement.DefaultCosts()), Leads: func() bool { return f.leads },
+		Suspects: suspect.NewLedger(time.Now(), "h", suspect.NewMetrics(observe.NewRegistry(observe.Identity{})), slog.New(slog.DiscardHandler)), Quota: f.quota, Usage: &f.usage,
 		Budget: NewRetryBudget(time.Now(), 0.2, 10*time.Second, func() float64 { return 20 }),
 		Bodies: bodybudget.New(0), SchedulingDelay: func() time.Duration { return f.delay },
 		Domain: "d", HostCount: func() int { return 1 }, Terminating: func() (time.Duration, bool) { return f.remaining, f.terminating },
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/acacialink/acacialink/internal/bodybudget"
 	"github.com/acacialink/acacialink/internal/catalog"
@@ -21,6 +22,8 @@
 type Gateway struct {
 	opts   Options
 	active atomic.Int64
+	// probes joins the probes of one engine.
+	probes singleflight.Group
 }
 
 // New returns a gateway with the given options.
@@ -64,6 +67,9 @@
 	reservedTokens int64
 	// reservedAt is the time of that reservation.
 	reservedAt time.Time
+	// mayBeDeadly is set once the request may have crashed an engine. tries is set if it
+	// was chosen to try a segment that is held back.
+	mayBeDeadly, tries bool
 	// usageCounted is set once the request is counted in the workspace's usage.
 	usageCounted bool
 	// headerWritten is set once the header of the response has been written.
@@ -103,6 +109,9 @@
 	if err := req.admit(); err != nil {
 		return err
 	}
+	if err := req.checkSegments(); err != nil {
+		return err
+	}
 	release, err := req.readBody(r)
 	defer release()
 	if err != nil {
--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/placement"
@@ -23,8 +26,75 @@
 	}
 }
 
-// logLoss logs what was on an engine that was lost under the request. begun is when the
-// engine began its answer; zero if it had not.
+// probeTimeout bounds the wait for the answer whether a lost engine still runs. One that
+// crashed refuses a connection at once.
+const probeTimeout = 150 * time.Millisecond
+
+// recordLoss records that an engine was lost under the request. begun is when the engine
+// began its answer; zero if it had not. If the engine has crashed and the request may be
+// the cause, it is not sent to another one.
+func (req *request) recordLoss(ctx context.Context, e *endpoint.Endpoint, job *placement.Job, begun time.Time) {
+	req.logLoss(e, job, begun)
+	segments, ledger := job.SharedSegments(), req.gateway.opts.Suspects
+	ledger.Lost(time.Now(), e.Key(), req.service.Name, segments, begun)
+	switch err := req.gateway.probe(ctx, e); {
+	case err == nil:
+		ledger.Alive(e.Key())
+	case errors.Is(err, ErrEndpointDown):
+		ledger.Crashed(time.Now(), e.Key())
+		if !ledger.Known(req.service.Name, segments) {
+			req.mayBeDeadly = true
+			ledger.RetryWithheld()
+		}
+	}
+}
+
+// probe probes an engine once for all requests that lost it at the same time.
+func (g *Gateway) probe(ctx context.Context, e *endpoint.Endpoint) error {
+	_, err, _ := g.probes.Do(e.ID, func() (any, error) {
+		probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		return nil, g.opts.Sender.Probe(probeCtx, e)
+	})
+	return err
+}
+
+// recordAnswered records that an engine began an answer at the given time and did not
+// crash.
+func (req *request) recordAnswered(job *placement.Job, begun time.Time) {
+	if !begun.IsZero() {
+		req.gateway.opts.Suspects.Answered(time.Now(), req.service.Name, job.SharedSegments(), begun)
+	}
+}
+
+// codeSegmentHeld is the code of a request that is held back for one of its segments.
+const codeSegmentHeld = "segment_held"
+
+// checkSegments returns an error if the request is held back for one of its segments. It
+// lets a request pass that was chosen to try one again.
+func (req *request) checkSegments() error {
+	if req.tries || req.service.Engine == nil {
+		return nil
+	}
+	now := time.Now()
+	job := placement.Job{Segments: req.call.Segments}
+	v, held := req.gateway.opts.Suspects.Check(now, req.service.Name, job.SharedSegments(), false)
+	if !held {
+		return nil
+	}
+	if req.gateway.opts.Leads() {
+		if _, held := req.gateway.opts.Suspects.Check(now, req.service.Name, job.SharedSegments(), true); !held {
+			req.tries = true
+			return nil
+		}
+	}
+	for _, attr := range v.LogAttrs(now) {
+		req.logAttrs = append(req.logAttrs, attr.(slog.Attr))
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeSegmentHeld, "a segment of the prompt is suspected to crash engines").After(max(busyRetryAfter, v.Until().Sub(now)))
+}
+
+// logLoss logs what was on an engine that was lost under the request.
 func (req *request) logLoss(e *endpoint.Endpoint, job *placement.Job, begun time.Time) {
 	now := time.Now()
 	load := req.gateway.opts.Tracker.LoadOn(now, e.ID)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/suspect"
 )
 
 // Quota enforces the rate limits of workspaces.
@@ -33,9 +34,13 @@
 	Catalog   *catalog.Cache
 	Endpoints *endpoint.Set
 	Tracker   *placement.Tracker
-	Quota     Quota
-	Usage     Usage
-	Budget    *RetryBudget
+	// Suspects holds back requests with segments that crash engines. Leads reports
+	// whether this host leads the fleet: it tries such a segment again.
+	Suspects *suspect.Ledger
+	Leads    func() bool
+	Quota    Quota
+	Usage    Usage
+	Budget   *RetryBudget
 	// Bodies bounds the request bodies in memory.
 	Bodies *bodybudget.Budget
 	// Domain is the failure domain of this host.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,7 +55,7 @@
 // mayRetry reports whether the request may be sent again after err. It consumes
 // retry budget.
 func (req *request) mayRetry(err error) bool {
-	if req.sends >= maxSends || req.remaining() <= 0 {
+	if req.sends >= maxSends || req.remaining() <= 0 || req.mayBeDeadly {
 		return false
 	}
 	if verdict.Of(err) != verdict.NotRun && (!req.repeatable() || req.possibleRuns >= req.route.Attempts) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,9 @@
 	out := &eventWriter{req: req}
 	var lastErr error
 	for {
+		if err := req.checkSegments(); err != nil {
+			return req.finalError(err)
+		}
 		plan, err := req.plan(job, out)
 		if err != nil {
 			if lastErr != nil {
@@ -38,7 +41,7 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || out.failed || !req.mayRetry(err) {
+		if ctx.Err() != nil || out.failed || verdict.As(err).Code == codeSegmentHeld || !req.mayRetry(err) {
 			return req.finalError(err)
 		}
 		lastErr = err
@@ -96,6 +99,10 @@
 		req.releaseCache(plan, prefilled)
 		return errors.Wrap(errCallerGone, "after the prefill")
 	}
+	if err := req.checkSegments(); err != nil {
+		req.releaseCache(plan, prefilled)
+		return err
+	}
 	engine, ok := req.gateway.opts.Tracker.DecodeEngine(time.Now(), req.gateway.opts.Endpoints.Service(req.service.Name), job, req.kvCache(), plan.Prefill)
 	if !ok {
 		req.releaseCache(plan, prefilled)
@@ -176,6 +183,9 @@
 		req.countPrefill(!prefillNotSent(err), failure.Code == codePrefillRejected)
 		req.gateway.opts.Metrics.Sends.Add(failure.Code, 1)
 		req.excluded[plan.Prefill.ID] = true
+		if ctx.Err() == nil && engineLost(failure) {
+			req.recordLoss(ctx, plan.Prefill, job, time.Time{})
+		}
 		switch {
 		case ctx.Err() != nil:
 			flight.Done()
@@ -240,8 +250,11 @@
 func (req *request) runGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, job *placement.Job, out *eventWriter, predicted time.Duration) error {
 	out.begun = time.Time{}
 	err := req.attemptGeneration(ctx, dispatch, flight, out, predicted)
-	if ctx.Err() == nil && engineLost(err) {
-		req.logLoss(dispatch.Endpoint, job, out.begun)
+	switch {
+	case ctx.Err() == nil && engineLost(err):
+		req.recordLoss(ctx, dispatch.Endpoint, job, out.begun)
+	case err == nil:
+		req.recordAnswered(job, out.begun)
 	}
 	return err
 }
--- a/internal/host/deadly_segment_test.go
+++ b/internal/host/deadly_segment_test.go
@@ -25,17 +25,20 @@
 
 // callerCounts counts what callers of sound requests got.
 type callerCounts struct {
-	mu           sync.Mutex
-	sent, served int
+	mu                     sync.Mutex
+	sent, served, heldBack int
 }
 
-func (c *callerCounts) add(status int) {
+func (c *callerCounts) add(status int, code string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
 	if status == http.StatusOK {
 		c.served++
 	}
+	if code == "segment_held" {
+		c.heldBack++
+	}
 }
 
 func (c *callerCounts) share() float64 {
@@ -96,9 +99,9 @@
 			continue
 		}
 		requests.Go(func() {
-			status := f.request(x, commonSegment, subject, own)
+			status, code := f.request(x, commonSegment, subject, own)
 			if sound != nil {
-				sound.add(status)
+				sound.add(status, code)
 			}
 		})
 	}
@@ -121,3 +124,48 @@
 	}
 	return late
 }
+
+// Engines end for other reasons: many at once, one after the other, before any request is
+// answered. Hardly any request is held back; the bound is that of the users' rule on
+// proper requests that are refused.
+func TestCrashesOfOtherCausesHoldNothingBack(t *testing.T) {
+	for name, kill := range map[string]func(f *engineFleet, rng *rand.Rand){
+		"a third at once": func(f *engineFleet, rng *rand.Rand) {
+			for range 5 {
+				f.killSome(rng, 0.33)
+				time.Sleep(3 * time.Second)
+			}
+		},
+		"one after the other": func(f *engineFleet, rng *rand.Rand) {
+			for range 40 {
+				f.killSome(rng, 0)
+				time.Sleep(400 * time.Millisecond)
+			}
+		},
+		"all of them": func(f *engineFleet, rng *rand.Rand) {
+			f.killSome(rng, 1)
+			time.Sleep(9 * time.Second)
+			f.killSome(rng, 1)
+			time.Sleep(9 * time.Second)
+		},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newEngineFleet(t, 12, 3, 6, 8)
+					time.Sleep(settlingTime)
+					var sound callerCounts
+					var killer sync.WaitGroup
+					killer.Go(func() { kill(f, rand.New(rand.NewPCG(seed, 6))) }) //nolint:gosec // a fixed seed
+					f.play(seed, 20*time.Second, 64, 0, &sound)
+					killer.Wait()
+					t.Logf("%d sent, %.3f served, %d held back", sound.sent, sound.share(), sound.heldBack)
+					if sound.heldBack > 5+sound.sent/500 {
+						t.Errorf("%d of %d requests are held back", sound.heldBack, sound.sent)
+					}
+					f.end()
+				})
+			})
+		}
+	}
+}
--- a/internal/host/engines_test.go
+++ b/internal/host/engines_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -178,6 +180,15 @@
 	return gateway.Prefilled{}, &outbound.Failure{Sent: true, Cause: io.ErrUnexpectedEOF}
 }
 
+// Probe implements gateway.Sender.
+func (f *engineFleet) Probe(_ context.Context, e *endpoint.Endpoint) error {
+	time.Sleep(2 * time.Millisecond)
+	if f.reachEngine(e) == nil {
+		return gateway.ErrEndpointDown
+	}
+	return nil
+}
+
 // Release implements gateway.Sender.
 func (f *engineFleet) Release(context.Context, *endpoint.Endpoint, gateway.Prefilled) error {
 	return nil
@@ -236,9 +247,25 @@
 // SetRequestID implements gateway.Ingress.
 func (f *engineFleet) SetRequestID(http.Header, *gateway.Call) {}
 
-// request sends a request with the segments to the host. It returns the status that the
-// caller gets; 0 if the answer broke off.
-func (f *engineFleet) request(x *fleetHost, segments ...uint64) (status int) {
+// killSome crashes a share of the engines at once, one at least.
+func (f *engineFleet) killSome(rng *rand.Rand, share float64) {
+	f.engineMu.Lock()
+	defer f.engineMu.Unlock()
+	var running []*simulatedEngine
+	for _, e := range f.engines {
+		if !e.hasEnded() {
+			running = append(running, e)
+		}
+	}
+	rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	for _, e := range running[:min(len(running), max(1, int(share*float64(len(running)))))] {
+		f.crash(e)
+	}
+}
+
+// request sends a request with the segments to the host. It returns the status and the
+// error code that the caller gets; 0 if the answer broke off.
+func (f *engineFleet) request(x *fleetHost, segments ...uint64) (status int, code string) {
 	r := httptest.NewRequestWithContext(context.WithValue(f.t.Context(), segmentsKey{}, segments), http.MethodPost, "/x", nil)
 	r.Host = "h"
 	w := httptest.NewRecorder()
@@ -248,5 +275,9 @@
 		}
 	}()
 	x.gateway.ServeHTTP(w, r)
-	return w.Code
+	var failure struct{ Code string }
+	if w.Code != http.StatusOK && json.Unmarshal(w.Body.Bytes(), &failure) != nil {
+		return w.Code, ""
+	}
+	return w.Code, failure.Code
 }
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -107,6 +107,7 @@
 	x.running.Go(func() { x.directory.Run(ctx) })
 	x.running.Go(func() { x.group.Run(ctx) })
 	x.running.Go(func() { x.quota.run(ctx) })
+	x.running.Go(func() { x.judgeSuspects(ctx) })
 }
 
 // exchange carries one exchange, as encoded on the wire.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/acacialink/acacialink/internal/mediantime"
 	"github.com/acacialink/acacialink/internal/peer"
 	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/suspect"
 )
 
 const (
@@ -74,6 +75,7 @@
 	configPoller   *poller
 	endpointPoller *poller
 	tracker        *placement.Tracker
+	suspects       *suspect.Ledger
 	limiter        *limit.Limiter
 	counter        *leader.Counter
 	medianClock    *mediantime.Clock
@@ -120,6 +122,7 @@
 	h.configPoller = newPoller("store: configuration", s.ConfigApplyBound, h.catalog.Age, h.readConfig, func() {})
 	h.endpointPoller = newPoller("store: endpoints", s.EndpointDrainBound, h.registry.age, h.listEndpoints, h.endpoints.RegistryFailed)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
+	h.suspects = suspect.NewLedger(h.startedAt, h.incarnation, suspect.NewMetrics(opts.Registry), opts.Log)
 	opts.Registry.NewGauge("placement_tokens_per_ms", func() any {
 		prefill, decode := h.tracker.Rates()
 		return map[string]float64{"prefill": prefill, "decode": decode}
@@ -141,7 +144,7 @@
 	h.leases = h.newLeaseSet()
 	h.leaderTasks = h.newLeaderTasks()
 	h.gateway = gateway.New(gateway.Options{
-		Ingress: opts.Ports.Ingress, Sender: opts.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker,
+		Ingress: opts.Ports.Ingress, Sender: opts.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker, Suspects: h.suspects, Leads: h.isLeader,
 		Quota: h.quota, Usage: h.counter, Budget: gateway.NewRetryBudget(h.startedAt, s.RetryRatio*retryBudgetShare, s.RetryWindow, h.retrySlack),
 		Bodies: bodybudget.New(int64(bodyMemoryFraction * float64(s.MemoryBytes))), Domain: s.Domain, HostCount: h.hostCount,
 		Terminating: h.timeToExit, SchedulingDelay: h.delays.Current, Metrics: gateway.NewMetrics(opts.Registry), Log: opts.Log,
@@ -247,7 +250,7 @@
 	for _, p := range []*poller{h.configPoller, h.endpointPoller} {
 		tasks.Go(func() { p.run(ctx, h.watchersBefore, h.opts.Log) })
 	}
-	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.removeMissingEndpoints, h.directory.Run, h.group.Run, countsWriter.Run, h.closeExpiredConnections, h.delays.run, h.quota.run} {
+	for _, run := range []loop{h.watchConfig, h.watchEndpoints, h.removeMissingEndpoints, h.directory.Run, h.group.Run, countsWriter.Run, h.closeExpiredConnections, h.delays.run, h.quota.run, h.judgeSuspects} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Go(func() {
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -43,8 +43,10 @@
 	out.LeaderHost = h.currentLeader()
 	after := report.After
 	if report.AfterOf != h.incarnation {
+		// The evidence is sent from its beginning: it counts for minutes.
 		after = peer.UpdatePosition{Dispatches: math.MaxInt64, Changes: math.MaxInt64}
 	}
+	out.Evidence = h.suspects.AllSince(now, after.Reports, after.Survivals)
 	out.Dispatches = h.tracker.AllDispatchesSince(after.Dispatches, report.Host)
 	out.Changes, out.ChangesNext = h.registry.allChangesSince(after.Changes)
 }
@@ -76,6 +78,8 @@
 	out.Dispatches = h.tracker.OwnDispatchesSince(sent.Dispatches)
 	sent.Dispatches = out.Dispatches.Next
 	out.Changes, sent.Changes = h.registry.changesSince(sent.Changes)
+	out.Evidence = h.suspects.OwnSince(time.Now(), sent.Reports, sent.Survivals)
+	sent.Reports, sent.Survivals = out.Evidence.Reports.Next, out.Evidence.Survivals.Next
 	if now := time.Now(); now.Sub(sent.UsageSentAt) >= usageInterval && (!out.Delegate || h.leaderIs(to)) {
 		out.Usage, sent.UsageSentAt = h.counter.CountsFor(h.incarnation, h.memberIncarnations()), now
 	}
@@ -117,6 +121,7 @@
 		sender += "/all" // numbered apart from what it sends to delegates
 	}
 	h.tracker.AddPeerDispatches(now, s.Host, sender, s.Dispatches, from == peer.Member)
+	h.suspects.Receive(now, sender, s.Evidence, from == peer.Member)
 	for incarnation, counts := range s.Usage {
 		h.counter.MergePeer(incarnation, counts)
 	}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -234,6 +234,9 @@
 	for _, e := range change.Removed {
 		h.opts.Log.Info("endpoint leaves", observe.FieldEndpoint, e.ID, "draining", e.Draining)
 		h.tracker.RemoveEngine(e.ID)
+		if !e.Draining {
+			h.suspects.Crashed(time.Now(), e.Key())
+		}
 		h.opts.Ports.Connections.CloseIdle(e.Address)
 	}
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,6 +92,22 @@
 	return newConn(netConn), nil
 }
 
+// ErrRefused reports that no process listens at an address.
+var ErrRefused = errors.New("connection refused")
+
+// Probe opens a connection to an address and closes it. It returns ErrRefused if no
+// process listens there.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ErrRefused
+	}
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	return errors.Wrap(c.Close(), "probe")
+}
+
 // takeIdle removes a usable idle connection for the request ID from the pool. It
 // returns nil if there is none, and closes unusable ones.
 func (p *Pool) takeIdle(address string, maxIdle time.Duration, id string) *conn {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -92,6 +92,7 @@
 		EndpointsVersion: s.Versions.Endpoints.Version, EndpointsAgeMs: s.Versions.Endpoints.AgeMillis,
 		DispatchesFirst: s.Dispatches.First, DispatchesNext: s.Dispatches.Next, ChangesNext: s.ChangesNext,
 		AfterDispatches: s.After.Dispatches, AfterChanges: s.After.Changes, AfterOf: s.AfterOf,
+		AfterReports: s.After.Reports, AfterSurvivals: s.After.Survivals, Evidence: t.evidence(s.Evidence),
 	}
 	for _, member := range s.Members {
 		w.Members = append(w.Members, t.index(member))
@@ -168,7 +169,8 @@
 		},
 		Dispatches:  placement.DispatchBatch{First: w.GetDispatchesFirst(), Next: w.GetDispatchesNext()},
 		ChangesNext: w.GetChangesNext(), AfterOf: w.GetAfterOf(),
-		After: UpdatePosition{Dispatches: w.GetAfterDispatches(), Changes: w.GetAfterChanges()},
+		After:    UpdatePosition{Dispatches: w.GetAfterDispatches(), Changes: w.GetAfterChanges(), Reports: w.GetAfterReports(), Survivals: w.GetAfterSurvivals()},
+		Evidence: names.evidence(w.GetEvidence()),
 	}
 	for _, index := range w.GetMembers() {
 		if name, ok := names.name(index); ok {
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -415,7 +415,9 @@
 			}
 			lost = false
 			sent = next
-			received, receivedOf = UpdatePosition{Dispatches: in.Dispatches.Next, Changes: in.ChangesNext}, in.Incarnation
+			received, receivedOf = UpdatePosition{
+				Dispatches: in.Dispatches.Next, Changes: in.ChangesNext, Reports: in.Evidence.Reports.Next, Survivals: in.Evidence.Survivals.Next,
+			}, in.Incarnation
 			g.exchanged(startedAt)
 			g.opts.SnapshotSent(e.Host, &out)
 			g.receive(in, g.relationTo(in))
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/suspect"
 )
 
 // Snapshot is the message that hosts exchange: the sender's full state at one
@@ -66,6 +67,8 @@
 	ChangesNext int64
 	// Usage holds usage counts by incarnation, window and workspace.
 	Usage map[string]map[int64]map[string]int64
+	// Evidence holds reports of crashes of engines and what speaks against them.
+	Evidence suspect.Batch
 	// After is the position in the updates of the delegate's incarnation AfterOf that
 	// a member has received. The answer contains the updates after it.
 	After   UpdatePosition
@@ -111,6 +114,8 @@
 	// registry changes sent.
 	Dispatches int64
 	Changes    int64
+	// Reports and Survivals are the numbers of those sent as evidence.
+	Reports, Survivals int64
 	// UsageSentAt is the time at which usage counts were last sent.
 	UsageSentAt time.Time
 }
--- a/internal/suspect/judge.go
+++ b/internal/suspect/judge.go
@@ -64,8 +64,7 @@
 	explained := make(map[int]bool)
 	var verdicts map[Segment]Verdict
 	for _, c := range candidates {
-		rest := slices.DeleteFunc(slices.Clone(c.crashes), func(i int) bool { return explained[i] })
-		if !e.suffices(c, rest) {
+		if !e.suffices(c, explained) {
 			continue
 		}
 		for _, i := range c.crashes {
@@ -83,15 +82,28 @@
 }
 
 // suffices reports whether the crashes of the candidate that nothing else explains
-// suffice to hold it.
-func (e evidence) suffices(c *candidate, rest []int) bool {
+// suffice to hold it: enough of them, and not too few of all that nothing explains in
+// that time. A request meets by chance a few of many crashes.
+func (e evidence) suffices(c *candidate, explained map[int]bool) bool {
 	if c.requests > maxRequestsPerCrash*len(c.crashes) {
 		return false
 	}
-	if !c.known {
-		return e.moments(rest) >= crashesToHold
+	rest := slices.DeleteFunc(slices.Clone(c.crashes), func(i int) bool { return explained[i] })
+	required := crashesToHold
+	if c.known {
+		required = crashesToHoldKnown
 	}
-	return e.moments(rest) >= crashesToHoldKnown && e.others(c.segment.Service, e.crashes[rest[0]].At) >= otherAnswers
+	count := e.moments(rest)
+	if count < required || c.known && e.others(c.segment.Service, e.crashes[rest[0]].At) < otherAnswers {
+		return false
+	}
+	var all []int
+	for i := rest[0]; i <= rest[len(rest)-1]; i++ {
+		if !explained[i] && e.crashes[i].Service == c.segment.Service {
+			all = append(all, i)
+		}
+	}
+	return count*maxCrashesPerExplained >= e.moments(all)
 }
 
 // candidates returns the segments that were in a crash since they were last answered.
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -16,11 +16,13 @@
 	Hash    uint64
 }
 
-// Crash is the crash of one incarnation of an engine, as one host saw it. Reports of
-// several hosts of the same incarnation describe one crash.
+// Crash is a report of one host on the crash of one incarnation of an engine. All
+// reports of the same incarnation describe one crash.
 type Crash struct {
-	// Origin is the host that reports it.
+	// Origin is the incarnation of the host that reports it. Number tells its reports of
+	// one crash apart.
 	Origin  string
+	Number  int
 	Engine  endpoint.Key
 	Service string
 	At      time.Time
@@ -80,6 +82,9 @@
 	// maxRequestsPerCrash bounds the requests with a segment in one crash, on average.
 	// A segment that more of them carry is popular rather than deadly.
 	maxRequestsPerCrash = 3
+	// maxCrashesPerExplained bounds the crashes in a time for each one that a segment
+	// explains.
+	maxCrashesPerExplained = 3
 	// sameMoment is the time within which crashes count as one: engines that share a
 	// cause end together.
 	sameMoment = 50 * time.Millisecond
