entry, agent, node: prompts that end engines are held back at the second entrance

An agent now tells that the engine's process has ended (a probe), the entry host keeps the evidence by the hashes of the prompt's blocks in package suspect, does not resume a generation that may be the cause, refuses prompts with a held part, and sends its evidence to all other entry hosts.

The exchange between entry hosts is built and not tested with several processes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,7 +74,9 @@
 	mu       sync.Mutex
 	draining bool
 	report   engineReport
-	changed  chan struct{}
+	// endedAt is when the engine was found to have ended; zero while it runs.
+	endedAt time.Time
+	changed chan struct{}
 }
 
 // New returns an agent. Fields of opts that are zero get their defaults. Run
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -30,7 +30,7 @@
 		a.cancelAtEngine(ctx, id)
 	}
 	if err != nil {
-		a.fail(r, err)
+		a.failGeneration(ctx, r, err)
 		return
 	}
 	a.stats.PrefilledTokens.Add(int64(finish.PromptTokens - finish.CachedTokens))
@@ -42,6 +42,18 @@
 	}}})
 }
 
+// failGeneration ends a generation with the verdict for err, and tells whether the engine
+// has ended under it.
+func (a *Agent) failGeneration(ctx context.Context, r *rpc.Responder, err error) {
+	failure := endpointError(err)
+	if ctx.Err() != nil || verdict.Of(failure) != verdict.MayHaveRun {
+		a.fail(r, err)
+		return
+	}
+	a.stats.Failed.Add(1)
+	r.FailEnded(failure, a.engineEnded(ctx))
+}
+
 func sendToken(r *rpc.Responder, t backing.Token) error {
 	sent := r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{
 		First: int32(t.Index),
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -135,7 +135,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	wasReady := a.readyLocked()
-	a.report.load = load
+	a.report.load, a.endedAt = load, time.Time{}
 	a.report.receivedAt = time.Now()
 	a.report.events = append(a.report.events, events...)
 	if excess := len(a.report.events) - a.opts.CacheEvents; excess > 0 {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -105,6 +105,9 @@
 // the model's queue, runs the generation, and settles both reservations with the
 // actual consumption.
 func (s *Server) admitAndGenerate(ctx context.Context, g *generation) error {
+	if err := g.checkPrompt(); err != nil {
+		return err
+	}
 	reservation, err := s.opts.Quota.Reserve(ctx, g.caller.Workspace, g.caller.Spec, int64(g.promptTokens+g.maxTokens))
 	if err != nil {
 		return err
@@ -139,11 +142,16 @@
 	s.opts.Usage.Add(g.caller.Workspace, g.model, int64(g.promptTokens), int64(g.deliveredTokens), int64(g.cachedTokens), 1)
 }
 
-// routeRequest returns the routing parameters of the next attempt.
-func (g *generation) routeRequest() *route.Request {
+// hashPrompt computes the hashes of the prompt's blocks once.
+func (g *generation) hashPrompt() {
 	if g.prefixHashes == nil {
 		g.prefixHashes = backing.PrefixHashes(g.model, g.prompt)
 	}
+}
+
+// routeRequest returns the routing parameters of the next attempt.
+func (g *generation) routeRequest() *route.Request {
+	g.hashPrompt()
 	return &route.Request{
 		Model:        g.model,
 		Adapter:      g.adapter,
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -44,6 +44,10 @@
 	kvHandle string
 	// mayHaveRun is set once an endpoint may have executed the request.
 	mayHaveRun bool
+	// ended counts the engines that ended under the generation. mayBeDeadly is set once
+	// it may be the cause, tries if it was chosen to try a part of a prompt again.
+	ended              int
+	mayBeDeadly, tries bool
 }
 
 // errCallerGone ends a generation whose caller disconnected or stopped reading.
@@ -84,10 +88,17 @@
 	var resumeDeadline time.Time
 	resumedAt := 0
 	for attempt := 1; ; attempt++ {
+		err := g.checkPrompt()
+		if err != nil {
+			return g.finalError(err)
+		}
 		flight, err := g.pickEndpoint(ctx)
 		if err == nil {
 			err = g.attempt(ctx, flight)
 		}
+		if err != nil && g.mayBeDeadly {
+			return g.finalError(err)
+		}
 		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
 			return err
 		}
@@ -191,20 +202,22 @@
 func (g *generation) stream(ctx context.Context, call *rpc.Call, flight *route.Flight) error {
 	timeout := g.server.opts.Timeouts.FirstToken
 	sampler := tokenGapSampler{flight: flight}
-	prefilled := false
+	var begun time.Time
 	for {
 		m, err := nextMessage(ctx, call, timeout)
 		if err != nil {
 			return err
 		}
 		if failed := m.GetFailed(); failed != nil {
+			g.recordFailure(flight.Endpoint, failed, begun)
 			return rpc.ErrorFromFailed(failed)
 		}
 		if finished := m.GetFinished(); finished != nil {
+			g.recordAnswered(begun)
 			return g.recordFinish(finished)
 		}
-		if !prefilled {
-			prefilled = true
+		if begun.IsZero() {
+			begun = time.Now()
 			g.recordFirstTokenLatency()
 			flight.PrefillDone()
 			g.ticket.PrefillDone()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -11,6 +11,7 @@
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/snapshot"
+	"github.com/acacialink/acacialink/internal/suspect"
 )
 
 // Config gives access to the configuration of the host.
@@ -133,6 +134,11 @@
 	Usage    Usage
 	Limits   Limits
 	Timeouts Timeouts
+	// Suspects holds back prompts with a part that crashes engines; nil for a ledger of
+	// this server alone. Leads reports whether this host tries such a part again; nil
+	// for always.
+	Suspects *suspect.Ledger
+	Leads    func() bool
 	// MaxAttempts is the maximum number of attempts of one request before its first
 	// token; 0 means DefaultMaxAttempts.
 	MaxAttempts int
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"log/slog"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/acacialink/acacialink/internal/bodybudget"
+	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/suspect"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -29,6 +33,12 @@
 	if opts.MaxAttempts == 0 {
 		opts.MaxAttempts = DefaultMaxAttempts
 	}
+	if opts.Suspects == nil {
+		opts.Suspects = suspect.NewLedger(time.Now(), "", suspect.NewMetrics(observe.NewRegistry(observe.Identity{})), slog.New(slog.DiscardHandler))
+	}
+	if opts.Leads == nil {
+		opts.Leads = func() bool { return true }
+	}
 	s := &Server{opts: opts, retries: newRetryBudget(), bodies: bodybudget.New(opts.Limits.BufferedBytes)}
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/chat/completions", s.handleChat).Methods(http.MethodPost)
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -68,6 +68,7 @@
 		return err
 	}
 	if failed := reply.GetFailed(); failed != nil {
+		g.recordFailure(endpoint, failed, time.Time{})
 		return rpc.ErrorFromFailed(failed)
 	}
 	return nil
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -32,6 +32,7 @@
 	"github.com/acacialink/acacialink/internal/rpc/wire"
 	"github.com/acacialink/acacialink/internal/settings"
 	"github.com/acacialink/acacialink/internal/snapshot"
+	"github.com/acacialink/acacialink/internal/suspect"
 	"github.com/acacialink/acacialink/internal/usage"
 )
 
@@ -62,6 +63,8 @@
 	roles          *control.Roles
 	pools          *control.Pools
 	callers        *entry.Server
+	// suspects holds the evidence on parts of prompts that crash engines.
+	suspects *suspect.Ledger
 	// callerRequests tracks the requests of callers for the graceful shutdown.
 	callerRequests httpdrain.Tracker
 	peers          *rpc.Server
@@ -105,6 +108,7 @@
 	e.buildQuota()
 	e.buildUsage()
 	e.buildControl(source)
+	e.suspects = suspect.NewLedger(time.Now(), s.Name+"/"+e.incarnation, suspect.NewMetrics(e.registry), log)
 	e.claims = idempotency.New(e.store, idempotency.Options{})
 	e.callers = entry.New(e.callerOptions())
 	mux := drpcmux.New()
@@ -207,6 +211,8 @@
 		Queue:    e.queues,
 		Claims:   e.claims,
 		Usage:    e.recorder,
+		Suspects: e.suspects,
+		Leads:    e.leadsTrials,
 		Limits: entry.Limits{
 			BodyBytes:     s.Limits.BodyBytes,
 			BufferedBytes: s.Limits.BufferedBytes,
@@ -289,7 +295,7 @@
 	})
 	background := startLoops(ctx,
 		e.exchanger.Run, e.config.Run, e.runReconcile, e.runCapacityUpdates,
-		e.leaseDirectory.Run, e.runSlots, e.runQuota, e.aggregator.Run, e.leases.Run)
+		e.leaseDirectory.Run, e.runSlots, e.runQuota, e.aggregator.Run, e.leases.Run, e.runSuspects)
 	usageSender := startLoops(ctx, e.sender.Run)
 	controllers := startLoops(ctx, e.controllers()...)
 	e.log.Info("entry started", "callers", e.CallerAddr(), "operators", e.OperatorAddr(), "peers", e.PeerAddr())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -23,5 +23,8 @@
 	if request.Usage != nil {
 		response.Usage = e.aggregator.HandleUsage(request.Usage)
 	}
+	if len(request.Evidence) > 0 {
+		e.receiveEvidence(request)
+	}
 	return response, nil
 }
--- a/internal/peer/evidence.go
+++ b/internal/peer/evidence.go
@@ -8,6 +8,16 @@
 	"github.com/acacialink/acacialink/internal/suspect"
 )
 
+// EncodeEvidence returns the wire form of a batch as a message of its own.
+func EncodeEvidence(b suspect.Batch) ([]byte, error) { return EncodeSnapshot(&Snapshot{Evidence: b}) }
+
+// DecodeEvidence decodes a message of EncodeEvidence.
+func DecodeEvidence(buf []byte) (suspect.Batch, error) {
+	var s Snapshot
+	err := DecodeSnapshot(buf, &s)
+	return s.Evidence, err
+}
+
 // evidence returns the wire form of a batch; nil if there are no positions to tell.
 func (t *nameTable) evidence(b suspect.Batch) *peerwire.Evidence {
 	if b.Reports.Next == 0 && b.Survivals.Next == 0 {
--- a/internal/rpc/agent_session.go
+++ b/internal/rpc/agent_session.go
@@ -45,13 +45,21 @@
 func (r *Responder) AfterSent(notify func()) { r.out.afterSent(notify) }
 
 // Fail ends the answer with an error.
-func (r *Responder) Fail(err error) {
+func (r *Responder) Fail(err error) { r.FailEnded(err, time.Time{}) }
+
+// FailEnded is Fail for an engine that ended at a time; zero if it has not.
+func (r *Responder) FailEnded(err error, ended time.Time) {
 	failure := verdict.As(err)
+	endedMS := int64(0)
+	if !ended.IsZero() {
+		endedMS = ended.UnixMilli()
+	}
 	r.Send(&wire.AgentMessage{Body: &wire.AgentMessage_Failed{Failed: &wire.Failed{
-		Verdict:      uint32(failure.Verdict),
-		Code:         failure.Code,
-		Message:      failure.Message,
-		RetryAfterUs: failure.RetryAfter.Microseconds(),
+		Verdict:       uint32(failure.Verdict),
+		Code:          failure.Code,
+		Message:       failure.Message,
+		RetryAfterUs:  failure.RetryAfter.Microseconds(),
+		EngineEndedMs: endedMS,
 	}}})
 }
 
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -414,6 +414,13 @@
 // crashed one.
 func (l *Ledger) RetryWithheld() { l.metrics.Events.Add("retry_withheld", 1) }
 
+// Empty reports whether this host has no evidence to tell of.
+func (l *Ledger) Empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashes) == 0 && len(l.orders) == 0
+}
+
 // Held returns the verdicts in force, by segment.
 func (l *Ledger) Held() []Verdict {
 	held := l.verdicts.Load()
