--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -213,7 +213,7 @@
 			return rpc.ErrorFromFailed(failed)
 		}
 		if finished := m.GetFinished(); finished != nil {
-			g.recordAnswered(begun)
+			g.recordAnswered(flight.Endpoint, begun)
 			return g.recordFinish(finished)
 		}
 		if begun.IsZero() {
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -59,9 +59,9 @@
 
 // recordAnswered records that an engine began the answer at the given time and did not
 // end.
-func (g *generation) recordAnswered(begun time.Time) {
+func (g *generation) recordAnswered(name string, begun time.Time) {
 	if !begun.IsZero() {
 		g.hashPrompt()
-		g.server.opts.Suspects.Answered(time.Now(), g.model, g.prefixHashes, begun)
+		g.server.opts.Suspects.Answered(time.Now(), endpoint.Key{ID: name}, g.model, g.prefixHashes, begun)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,8 +67,10 @@
 	reservedTokens int64
 	// reservedAt is the time of that reservation.
 	reservedAt time.Time
-	// mayBeDeadly is set once the request may have crashed an engine. tries is set if it
+	// crashes counts the engines that crashed under the request. mayBeDeadly is set once
+	// it may be the cause. tries is set if it
 	// was chosen to try a segment that is held back.
+	crashes            int
 	mayBeDeadly, tries bool
 	// usageCounted is set once the request is counted in the workspace's usage.
 	usageCounted bool
--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -37,18 +37,20 @@
 	req.logLoss(e, job, begun)
 	segments, ledger := job.SharedSegments(), req.gateway.opts.Suspects
 	ledger.Lost(time.Now(), e.Key(), req.service.Name, segments, begun)
-	switch err := req.gateway.probe(ctx, e); {
-	case err == nil:
-		ledger.Alive(e.Key())
-	case errors.Is(err, ErrEndpointDown):
-		ledger.Crashed(time.Now(), e.Key())
-		if !ledger.Known(req.service.Name, segments) {
-			req.mayBeDeadly = true
-			ledger.RetryWithheld()
-		}
+	if !errors.Is(req.gateway.probe(ctx, e), ErrEndpointDown) {
+		return // if its entry expires, it has crashed
+	}
+	ledger.Crashed(time.Now(), e.Key())
+	req.crashes++
+	if !ledger.Known(req.service.Name, segments) || req.crashes >= maxCrashes {
+		req.mayBeDeadly = true
+		ledger.RetryWithheld()
 	}
 }
 
+// maxCrashes is the number of engines that may crash under one request.
+const maxCrashes = 2
+
 // probe probes an engine once for all requests that lost it at the same time.
 func (g *Gateway) probe(ctx context.Context, e *endpoint.Endpoint) error {
 	_, err, _ := g.probes.Do(e.ID, func() (any, error) {
@@ -61,9 +63,9 @@
 
 // recordAnswered records that an engine began an answer at the given time and did not
 // crash.
-func (req *request) recordAnswered(job *placement.Job, begun time.Time) {
+func (req *request) recordAnswered(e *endpoint.Endpoint, job *placement.Job, begun time.Time) {
 	if !begun.IsZero() {
-		req.gateway.opts.Suspects.Answered(time.Now(), req.service.Name, job.SharedSegments(), begun)
+		req.gateway.opts.Suspects.Answered(time.Now(), e.Key(), req.service.Name, job.SharedSegments(), begun)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -254,7 +254,7 @@
 	case ctx.Err() == nil && engineLost(err):
 		req.recordLoss(ctx, dispatch.Endpoint, job, out.begun)
 	case err == nil:
-		req.recordAnswered(job, out.begun)
+		req.recordAnswered(dispatch.Endpoint, job, out.begun)
 	}
 	return err
 }
--- a/internal/suspect/bench_test.go
+++ b/internal/suspect/bench_test.go
@@ -26,7 +26,7 @@
 	segments := []uint64{1, 10, 11, 12}
 	for n := 0; b.Loop(); n++ {
 		segments[3] = uint64(n) //nolint:gosec // not negative
-		l.Answered(day, "llm", segments, day)
+		l.Answered(day, endpoint.Key{ID: "e9"}, "llm", segments, day)
 	}
 }
 
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -144,7 +144,7 @@
 		return
 	}
 	if !begun.IsZero() && now.Sub(begun) > beginning {
-		l.Answered(now, service, hashes, begun)
+		l.Answered(now, engine, service, hashes, begun)
 		return
 	}
 	l.mu.Lock()
@@ -171,15 +171,6 @@
 	maps.DeleteFunc(l.lost, func(_ endpoint.Key, e *lostEngine) bool { return now.Sub(e.lostAt) > lostTTL })
 }
 
-// Alive records that an engine that was lost runs.
-func (l *Ledger) Alive(engine endpoint.Key) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if e := l.lost[engine]; e != nil && !e.crashed {
-		delete(l.lost, engine)
-	}
-}
-
 // Crashed records that an engine has crashed, and reports to the fleet which requests it
 // had, if it was lost under any. It returns whether it reported anything.
 func (l *Ledger) Crashed(now time.Time, engine endpoint.Key) bool {
@@ -206,12 +197,15 @@
 	l.judge(now)
 }
 
-// Answered records that an answer with the segments began at the given time and did not
-// crash its engine.
-func (l *Ledger) Answered(now time.Time, service string, hashes []uint64, begun time.Time) {
+// Answered records that an engine began an answer with the segments at the given time and
+// did not crash.
+func (l *Ledger) Answered(now time.Time, engine endpoint.Key, service string, hashes []uint64, begun time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers.add(now, service)
+	if e := l.lost[engine]; e != nil && !e.crashed && begun.After(e.lostAt) {
+		delete(l.lost, engine) // only a connection to it was lost
+	}
 	for _, hash := range hashes {
 		segment := Segment{service, hash}
 		l.survivors.add(now, segment, begun)
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -67,7 +67,7 @@
 	}
 	pass(second(3.1), a, b)
 	is.True(a.holds(4, 2) && b.holds(4, 2))
-	b.Answered(second(4.5), "llm", []uint64{2}, second(4)) // it was on its way
+	b.Answered(second(4.5), endpoint.Key{ID: "e9"}, "llm", []uint64{2}, second(4)) // it was on its way
 	is.True(!b.holds(4.6, 2))
 	pass(second(4.7), b, a)
 	is.True(!a.holds(4.8, 2))
@@ -79,12 +79,24 @@
 	for i, e := range []string{"e1", "e2", "e3", "e4"} {
 		key := endpoint.Key{ID: e}
 		l.Lost(second(float64(i)), key, "llm", []uint64{2}, time.Time{})
-		l.Alive(key)
+		l.Answered(second(float64(i)+0.5), key, "llm", []uint64{1}, second(float64(i)+0.1))
 		is.True(!l.Crashed(second(float64(i)+5), key)) // a later crash is another matter
 	}
 	is.True(!l.holds(20, 2))
 }
 
+func TestEngineThatLeavesAfterItWasLostHasCrashed(t *testing.T) {
+	is := is.New(t)
+	l := newLedger("a", day)
+	for i, e := range []string{"e1", "e2", "e3"} {
+		l.Lost(second(float64(i)), endpoint.Key{ID: e}, "llm", []uint64{2}, time.Time{})
+		is.True(l.Crashed(second(float64(i)+4), endpoint.Key{ID: e})) // its entry expired
+	}
+	is.True(l.holds(20, 2))
+	l.Lost(second(30), endpoint.Key{ID: "e4"}, "llm", []uint64{3}, time.Time{})
+	is.True(!l.Crashed(second(41), endpoint.Key{ID: "e4"}))
+}
+
 func TestLongAnswerIsNoCauseOfCrash(t *testing.T) {
 	is := is.New(t)
 	l := newLedger("a", day)
@@ -101,7 +113,7 @@
 	a, b := newLedger("a", day), newLedger("b", day)
 	for i, e := range []string{"e1", "e2", "e3"} {
 		a.crash(float64(i+1), e, []uint64{1})
-		a.Answered(second(float64(i+1)+0.5), "llm", []uint64{1}, second(float64(i+1)+0.4))
+		a.Answered(second(float64(i+1)+0.5), endpoint.Key{ID: "e9"}, "llm", []uint64{1}, second(float64(i+1)+0.4))
 		a.Lost(second(float64(i+1)+0.01), endpoint.Key{ID: e}, "llm", []uint64{2}, time.Time{})
 	}
 	pass(second(4), a, b)
@@ -128,7 +140,7 @@
 	l.crash(36, "e4", []uint64{2})
 	is.True(!tries(90))
 	is.True(tries(97))
-	l.Answered(second(98), "llm", []uint64{2}, second(97))
+	l.Answered(second(98), endpoint.Key{ID: "e9"}, "llm", []uint64{2}, second(97))
 	is.True(!l.holds(98, 2))
 }
 
@@ -171,7 +183,7 @@
 	rng := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed
 	for n := range 400_000 {           // 100,000 segments a minute
 		at := day.Add(time.Duration(n) * 600 * time.Microsecond)
-		l.Answered(at, "llm", []uint64{1, rng.Uint64()}, at)
+		l.Answered(at, endpoint.Key{ID: "e9"}, "llm", []uint64{1, rng.Uint64()}, at)
 		if n%1000 == 0 {
 			segments := make([]uint64, 100)
 			for i := range segments {
@@ -211,7 +223,7 @@
 			case 0:
 				l.crash(at, "e"+string(rune('a'+n)), append(segments, 2), []uint64{1})
 			case 1:
-				l.Answered(second(at), "llm", segments, second(at-0.1))
+				l.Answered(second(at), endpoint.Key{ID: "e9"}, "llm", segments, second(at-0.1))
 			default:
 				pass(second(at), l, ledgers[rng.IntN(len(ledgers))])
 			}
