suspectapi, explain, host: operators see, hold and lift segments; tests of hosts in trouble

GET, PUT and DELETE below /suspects of a gateway's ready address (changes only from its own machine) and /v1/suspects of an entry host (with a token) show the segments that are held back, hold one by hand and lift a hold, at all hosts. explain shows what was concluded about the segment of a refused request.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -42,9 +42,13 @@
 var stateChanges = []string{
 	"configuration in force", "endpoint added", "endpoint leaves", "endpoint changed its stage", "stage ordered",
 	"dependency lost", "dependency regained", "peer lost", "peer regained", "peer left", "draining", "drained", "start", "stop",
-	observe.MessageLinesDropped,
+	observe.MessageLinesDropped, "engine crashed under requests",
 }
 
+// segmentChanges are the messages that report what is concluded about a segment of
+// prompts. They are included at any time before the request.
+var segmentChanges = []string{"segment held back", "segment cleared", "segment tried again", "operator decided about a segment"}
+
 // messageEnded is the message of the line that ends a request.
 const messageEnded = "request ended"
 
@@ -155,7 +159,7 @@
 			invalid++
 		case l.fields[observe.FieldRequestID] == id:
 			own = append(own, l)
-		case slices.Contains(stateChanges, l.message):
+		case slices.Contains(stateChanges, l.message), slices.Contains(segmentChanges, l.message):
 			changes = append(changes, l)
 		}
 	}
@@ -181,15 +185,16 @@
 }
 
 // relevantChanges returns the state changes of the request's hosts within
-// stateChangeWindow of the request. Of changes of endpoints it includes only those of
-// endpoints that the request's lines name.
+// stateChangeWindow of the request. Of changes of endpoints and segments it includes only
+// those of which the request's lines name the endpoint or the segment.
 func relevantChanges(own, changes []logLine) []logLine {
 	first, last := own[0].at, own[0].at
-	hosts, named := make(map[string]bool), make(map[any]bool)
+	hosts, named, segments := make(map[string]bool), make(map[any]bool), make(map[any]bool)
 	for _, l := range own {
 		hosts[l.process] = true
 		named[l.fields[observe.FieldEndpoint]] = true
 		named[l.fields["prefill"]] = true
+		segments[l.fields["segment"]] = true
 		if ms, ok := l.fields[observe.FieldDuration].(float64); ok {
 			if start := l.at.Add(-time.Duration(ms * float64(time.Millisecond))); start.Before(first) {
 				first = start
@@ -201,6 +206,12 @@
 	}
 	var relevant []logLine
 	for _, l := range changes {
+		if slices.Contains(segmentChanges, l.message) {
+			if hosts[l.process] && segments[l.fields["segment"]] && !l.at.After(last.Add(stateChangeWindow)) {
+				relevant = append(relevant, l)
+			}
+			continue
+		}
 		endpoint := l.fields[observe.FieldEndpoint]
 		if hosts[l.process] && !l.at.Before(first.Add(-stateChangeWindow)) && !l.at.After(last.Add(stateChangeWindow)) && (endpoint == nil || named[endpoint]) {
 			relevant = append(relevant, l)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,3 +57,19 @@
 	err := WriteTimeline(strings.NewReader(logs), "99", &strings.Builder{})
 	is.True(errors.Is(err, ErrNotFound))
 }
+
+func TestWriteTimelineIncludesVerdictOnSegment(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(WriteTimeline(strings.NewReader(`
+{"time":"2026-01-01T00:00:01Z","msg":"segment held back","process":"h1","service":"llm","segment":"5c","crashes":3}
+{"time":"2026-01-01T00:00:01Z","msg":"segment held back","process":"h2","service":"llm","segment":"5c","crashes":3}
+{"time":"2026-01-01T00:00:02Z","msg":"segment held back","process":"h1","service":"llm","segment":"77","crashes":4}
+{"time":"2026-01-01T00:00:31Z","msg":"request ended","process":"h1","request_id":"7","code":"segment_held","segment":"5c"}
+{"time":"2026-01-01T00:00:32Z","msg":"segment cleared","process":"h1","service":"llm","segment":"5c","crashes":3}
+`), "7", &out))
+	is.Equal(out.String(), `    -30.000s h1: segment held back crashes=3 segment=5c service=llm
+*    +0.000s h1: request ended code=segment_held segment=5c
+     +1.000s h1: segment cleared crashes=3 segment=5c service=llm
+`)
+}
--- a/internal/gateway/loss_test.go
+++ b/internal/gateway/loss_test.go
@@ -8,10 +8,13 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/placement"
+	"github.com/acacialink/acacialink/internal/verdict"
 )
 
 // segmentIngress adds the segments of the header Segments to calls of testIngress.
@@ -42,3 +45,90 @@
 	is.True(strings.Contains(log.String(), `segments="[5c1e07a2 91bd3f06]"`)) // not the request's own
 	is.True(strings.Contains(log.String(), "begun_ms="))
 }
+
+// holdSegment lets three engines crash under requests with the segment.
+func (f *fixture) holdSegment(hash uint64) {
+	now := time.Now()
+	for i := range 3 {
+		key := endpoint.Key{ID: "lost", StartedAtMS: int64(i)}
+		at := now.Add(time.Duration(i-3) * time.Second)
+		f.gateway.opts.Suspects.Lost(at, key, "engine", []uint64{hash}, time.Time{})
+		f.gateway.opts.Suspects.Crashed(at, key)
+	}
+}
+
+func TestRequestWithHeldSegmentIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).configure()
+	f.gateway.opts.Ingress = segmentIngress{}
+	f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+		return newReply(http.StatusOK, sampleEvents), nil
+	}
+	f.holdSegment(0xdead)
+	w := f.serve("/resume/x", "Prompt", "5000", "Segments", "a dead b")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(w.Body.String(), codeSegmentHeld))
+	is.True(strings.Contains(w.Body.String(), verdict.NotRun.String()))
+	is.True(w.Header().Get("Retry-After") != "")
+	is.Equal(len(f.sends), 0)
+	is.Equal(f.quota.reserved, int64(0))
+	is.Equal(f.serve("/resume/x", "Prompt", "5000", "Segments", "a c b").Code, http.StatusOK)
+	is.Equal(f.serve("/resume/x", "Prompt", "5000", "Segments", "a dead").Code, http.StatusOK) // its own, shared with none
+}
+
+func TestSegmentHeldDuringPrefillIsNotDecoded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).configure()
+	f.gateway.opts.Ingress = segmentIngress{}
+	f.prefill = func(context.Context, *Dispatch) (Prefilled, error) {
+		f.holdSegment(0xdead)
+		return Prefilled{CacheSource: "cache"}, nil
+	}
+	w := f.serve("/stream/x", "Prompt", "5000", "Segments", "a dead b")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(len(f.sends), 0)
+}
+
+func TestRequestThatMayHaveCrashedEngineIsNotSentToAnother(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).configure()
+	f.gateway.opts.Ingress, f.probe = segmentIngress{}, ErrEndpointDown
+	f.send = func(n int, _ context.Context, _ *Dispatch) (*Reply, error) {
+		if n%2 == 1 {
+			return truncatedReply("id: 1\ndata: a\n\n"), nil
+		}
+		return newReply(http.StatusOK, "id: 2\ndata: b\n\n"), nil
+	}
+	f.serve("/resume/x", "Prompt", "50", "Segments", "a b")
+	is.Equal(len(f.sends), 1)
+	now := time.Now()
+	f.gateway.opts.Suspects.Answered(now, endpoint.Key{ID: "other"}, "engine", []uint64{0xa}, now)
+	f.sends = nil
+	w := f.serve("/resume/x", "Prompt", "50", "Segments", "a b") // its shared segment is known
+	is.Equal(w.Body.String(), sampleEvents)
+	is.Equal(len(f.sends), 2)
+	f.probe, f.sends = nil, nil // only the connection was lost
+	w = f.serve("/resume/x", "Prompt", "50", "Segments", "c b")
+	is.Equal(w.Body.String(), sampleEvents)
+}
+
+func TestLeaderTriesHeldSegmentOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).configure()
+	f.gateway.opts.Ingress, f.leads = segmentIngress{}, true
+	f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+		return newReply(http.StatusOK, sampleEvents), nil
+	}
+	now := time.Now()
+	for i := range 3 {
+		key, at := endpoint.Key{ID: "lost", StartedAtMS: int64(i)}, now.Add(time.Duration(i-40)*time.Second)
+		f.gateway.opts.Suspects.Lost(at, key, "engine", []uint64{0xdead}, time.Time{})
+		f.gateway.opts.Suspects.Crashed(at, key)
+	}
+	f.leads = false
+	is.Equal(f.serve("/stream/x", "Prompt", "50", "Segments", "dead b").Code, http.StatusServiceUnavailable)
+	f.leads = true
+	is.Equal(f.serve("/stream/x", "Prompt", "50", "Segments", "dead b").Code, http.StatusOK)
+	f.leads = false
+	is.Equal(f.serve("/stream/x", "Prompt", "50", "Segments", "dead b").Code, http.StatusOK) // it was answered
+}
--- a/internal/host/deadly_segment_test.go
+++ b/internal/host/deadly_segment_test.go
@@ -51,17 +51,37 @@
 // host, with the first segment and the subjects of sound requests. The fleet stops to
 // send them, and the sound ones are served.
 func TestDeadlySegmentIsHeldBack(t *testing.T) {
-	for _, size := range []struct{ hosts, domains, prefill, decode int }{{5, 3, 4, 3}, {30, 3, 8, 10}, {100, 5, 20, 30}} {
+	for _, size := range []struct {
+		hosts, domains, prefill, decode int
+		trouble, cold                   bool
+	}{
+		{5, 3, 4, 3, false, false},
+		{30, 3, 8, 10, false, false},
+		{100, 5, 20, 30, false, false},
+		{5, 3, 4, 3, true, false},
+		{30, 3, 8, 10, true, false},
+		{5, 3, 4, 3, false, true},
+		{30, 3, 8, 10, true, true},
+	} {
 		for seed := range uint64(3) {
-			t.Run(fmt.Sprintf("%d hosts, seed %d", size.hosts, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d hosts, trouble %v, cold %v, seed %d", size.hosts, size.trouble, size.cold, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newEngineFleet(t, size.hosts, size.domains, size.prefill, size.decode)
 					f.deadly[deadlySegment] = true
 					time.Sleep(settlingTime)
 					var before, after callerCounts
 					rate := 8 * float64(size.decode)
-					f.play(seed, 4*time.Second, rate, 0, &before)
+					if size.cold {
+						before.add(http.StatusOK, "") // nothing has been answered before
+					} else {
+						f.play(seed, 4*time.Second, rate, 0, &before)
+					}
+					var trouble sync.WaitGroup
+					if size.trouble {
+						trouble.Go(func() { f.troubleHosts(rand.New(rand.NewPCG(seed, 7))) }) //nolint:gosec // a fixed seed
+					}
 					f.play(seed+100, 12*time.Second, rate, 4, nil)
+					trouble.Wait()
 					late := f.lateArrivals()
 					f.play(seed+200, 12*time.Second, rate, 4, &after)
 					late = max(late, f.lateArrivals())
@@ -79,6 +99,22 @@
 	}
 }
 
+// troubleHosts kills a host, separates others from their peers for a time while they
+// serve, and adds hosts that know nothing.
+func (f *engineFleet) troubleHosts(rng *rand.Rand) {
+	for n := range 3 {
+		time.Sleep(time.Duration(300+rng.IntN(900)) * time.Millisecond)
+		hosts := f.live()
+		if n == 0 {
+			f.kill(hosts[rng.IntN(len(hosts))])
+		}
+		f.freeze(hosts[rng.IntN(len(hosts))], time.Duration(500+rng.IntN(1500))*time.Millisecond)
+		f.start(fmt.Sprintf("new-%d", n), "domain-0", n)
+		f.configure()
+		f.register()
+	}
+}
+
 // play sends sound requests, and deadly ones, at random hosts for a time; rates are a
 // second.
 func (f *engineFleet) play(seed uint64, d time.Duration, rate, deadlyRate float64, sound *callerCounts) {
--- a/internal/host/engines_test.go
+++ b/internal/host/engines_test.go
@@ -68,6 +68,13 @@
 		o.Ports.Sender, o.Ports.Ingress = f, f
 		o.Settings.RetryRatio, o.Settings.RetrySlack = 0.2, 56
 	})
+	f.configure()
+	f.register()
+	return f
+}
+
+// configure gives all hosts the configuration.
+func (f *engineFleet) configure() {
 	routes := []*catalog.Route{{
 		Name: "chat", Host: "h", Prefix: "/", Kind: catalog.Stream, Resumable: true, Attempts: 2, Timeout: 8 * time.Second,
 		Target: 250 * time.Millisecond, Services: []catalog.WeightedService{{Service: "llm", Weight: 1}},
@@ -76,8 +83,6 @@
 	for _, x := range f.live() {
 		x.catalog.Update(1, catalog.New(1, catalog.Limits{}, routes, services, nil, nil))
 	}
-	f.register()
-	return f
 }
 
 // startEngine starts an engine. The caller holds engineMu, or is alone.
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/httpdrain"
+	"github.com/acacialink/acacialink/internal/suspectapi"
 )
 
 // connectionExpiryInterval is the time between checks for expired connections to
@@ -45,11 +46,29 @@
 	return server.Close()
 }
 
-// operatorHandler serves the counters under /metrics and the readiness check under
-// every other path.
+// suspectsPath is the path below which operators see and change the segments that are
+// held back.
+const suspectsPath = "/suspects"
+
+// isLocal reports whether a request comes from the host's own machine.
+func isLocal(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	if !ok {
+		return false
+	}
+	remote, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && local.IP.Equal(net.ParseIP(remote))
+}
+
+// operatorHandler serves the counters under /metrics, the segments that are held back
+// under suspectsPath, and the readiness check under every other path. Segments are changed
+// only from the host's own machine: the address is open to the platform.
 func (h *Host) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", h.opts.Registry.ServeVars)
+	suspects := suspectapi.Handler(suspectsPath, h.suspects, isLocal, h.opts.Log)
+	mux.Handle(suspectsPath, suspects)
+	mux.Handle(suspectsPath+"/", suspects)
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		if !h.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -11,6 +11,7 @@
 	"github.com/acacialink/acacialink/internal/entry"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/opsapi"
+	"github.com/acacialink/acacialink/internal/suspectapi"
 )
 
 // callerServer returns the HTTP server for callers. Request headers are limited in size
@@ -27,6 +28,10 @@
 	return server
 }
 
+// suspectsPath is the path below which operators see and change the parts of prompts that
+// are held back. It needs an operator's token.
+const suspectsPath = "/v1/suspects"
+
 // operatorServer returns the HTTP server for operators: health, metrics, state dumps and
 // the resource API.
 func (e *Entry) operatorServer() (*http.Server, error) {
@@ -34,7 +39,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "operators")
 	}
-	root, _ := observe.NewOperatorMux(e.registry, authenticator, e)
+	root, operators := observe.NewOperatorMux(e.registry, authenticator, e)
+	operators.PathPrefix(suspectsPath).Handler(suspectapi.Handler(suspectsPath, e.suspects, func(*http.Request) bool { return true }, e.log))
 	root.PathPrefix("/v1/").Handler(opsapi.New(opsapi.Options{
 		Configuration: e.config,
 		Operators:     e.apiOperators(),
