gateway: a crash behind an event of an unframed stream is evidence

A stream that ends with its connection is whole behind an event, also if the engine crashed there, and then acquitted a segment that had just crashed the engine. The engine is probed before such an answer counts; the caller does not wait for it. Before: TestCrashBehindEventOfUnframedStreamIsEvidence failed for the crash. After: it passes.

--- a/internal/gateway/loss_test.go
+++ b/internal/gateway/loss_test.go
@@ -8,11 +8,13 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/framing"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
@@ -132,3 +134,25 @@
 	f.leads = false
 	is.Equal(f.serve("/stream/x", "Prompt", "50", "Segments", "dead b").Code, http.StatusOK) // it was answered
 }
+
+func TestCrashBehindEventOfUnframedStreamIsEvidence(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t).configure()
+			f.gateway.opts.Ingress = segmentIngress{}
+			if crashed {
+				f.probe = ErrEndpointDown
+			}
+			f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+				r := newReply(http.StatusOK, sampleEvents)
+				r.Framing = framing.Connection
+				return r, nil
+			}
+			is.Equal(f.serve("/stream/x", "Prompt", "50", "Segments", "a b").Body.String(), sampleEvents)
+			synctest.Wait()
+			is.Equal(f.gateway.opts.Suspects.Known("engine", []uint64{0xa}), !crashed)
+			is.Equal(f.gateway.opts.Suspects.Empty(), !crashed)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -248,13 +248,13 @@
 // stalls is canceled, if the stream can be resumed elsewhere. predicted is the
 // predicted time to the first event.
 func (req *request) runGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, job *placement.Job, out *eventWriter, predicted time.Duration) error {
-	out.begun = time.Time{}
+	out.begun, out.closed = time.Time{}, false
 	err := req.attemptGeneration(ctx, dispatch, flight, out, predicted)
 	switch {
 	case ctx.Err() == nil && engineLost(err):
 		req.recordLoss(ctx, dispatch.Endpoint, job, out.begun)
 	case err == nil:
-		req.recordAnswered(dispatch.Endpoint, job, out.begun)
+		req.recordAnswered(ctx, dispatch.Endpoint, job, out.begun, out.closed)
 	}
 	return err
 }
@@ -336,6 +336,8 @@
 	// begun is when the first bytes of the current attempt's answer came; zero if none
 	// did.
 	begun time.Time
+	// closed is set if the current attempt's answer ends with its connection.
+	closed bool
 	// stall ends the current attempt when it makes no progress; nil for no watch.
 	stall *stallWatch
 }
@@ -349,6 +351,7 @@
 	events := framing.NewEvents(maxEventBytes)
 	ending := framing.Ending{Framing: reply.Framing}
 	resumed := w.lastID != ""
+	w.closed = reply.Framing == framing.Connection
 	for ending.Err == nil {
 		var n int
 		n, ending.Err = events.Fill(reply.Body)
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -22,7 +22,7 @@
 	// maxRequests bounds the requests in one report of a crash, and maxSegments the
 	// segments of a request that are considered.
 	maxRequests = 32
-	maxSegments = 16
+	maxSegments = 32
 	// maxLost bounds the engines that were lost and may have crashed.
 	maxLost = 256
 	// lostTTL is the time within which the loss of an engine is confirmed as a crash.
