fleet: the state that the router sees is a copy

An agent's state was changed for the router (service models, draining) after the link had published it, while the admission queues' update read it: a data race at `entry`.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/acacialink/acacialink/internal/resource"
 	"github.com/acacialink/acacialink/internal/route"
 	"github.com/acacialink/acacialink/internal/rpc"
@@ -62,6 +64,9 @@
 	*rpc.Link
 	spec   resource.EndpointSpec
 	cancel context.CancelFunc
+	// seen is the last state as the router sees it; nil while there is none. It is
+	// guarded by Fleet.mu and not modified.
+	seen *wire.AgentState
 }
 
 // New returns a fleet without sessions.
@@ -150,15 +155,19 @@
 		return
 	}
 	if state == nil || state.Endpoint != name {
+		l.seen = nil
 		f.opts.Router.Remove(name)
 		f.notifyObserver(name, nil)
 		return
 	}
 	f.notifyObserver(name, state)
+	// The link's own copy may be read meanwhile.
+	state = proto.Clone(state).(*wire.AgentState)
 	if l.spec.Kind == resource.EndpointService {
 		state.Models = []string{ServiceModel(l.spec.Service)}
 	}
 	state.Draining = state.Draining || l.spec.Draining || f.isLeaving(name)
+	l.seen = state
 	f.opts.Router.Observe(time.Now(), state)
 }
 
@@ -210,18 +219,15 @@
 	return ""
 }
 
-// States returns the last state of each connected endpoint, by name.
+// States returns the last state of each connected endpoint as the router sees it, by name.
+// The caller must not modify it.
 func (f *Fleet) States() map[string]*wire.AgentState {
 	f.mu.Lock()
-	links := make(map[string]*link, len(f.links))
+	defer f.mu.Unlock()
+	states := make(map[string]*wire.AgentState, len(f.links))
 	for name, l := range f.links {
-		links[name] = l
-	}
-	f.mu.Unlock()
-	states := make(map[string]*wire.AgentState, len(links))
-	for name, l := range links {
-		if state, _ := l.State(); state != nil {
-			states[name] = state
+		if l.seen != nil {
+			states[name] = l.seen
 		}
 	}
 	return states
