--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -137,3 +137,18 @@
 	<-observed
 	is.Equal(len(router.Candidates()), 0)
 }
+
+func TestStateSeenByRouterIsNotLinksOwn(t *testing.T) {
+	is := is.New(t)
+	_, address := startAgent(t, "leaving")
+	leaving := &atomic.Bool{}
+	leaving.Store(true)
+	f, _, ctx := newFleet(t, leaving)
+	f.Reconcile(ctx, []Endpoint{newEndpoint("leaving", address)}, nil)
+	waitFor(t, func() bool { return f.States()["leaving"] != nil })
+	is.True(f.States()["leaving"].Draining)
+	f.mu.Lock()
+	own, _ := f.links["leaving"].State()
+	f.mu.Unlock()
+	is.True(!own.Draining) // others read it meanwhile
+}
