--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -163,6 +163,17 @@
 	return p, nil
 }
 
+// startServer starts a server that is no replica: it runs what it gets and knows none of the
+// platform's headers.
+func (d *deployment) startServer(id, address string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	_, err = d.start(id, nil, []string{self, "replica", "--id=" + id, "--address=" + address, "--foreign"}, d.replicaPrinted)
+	return err
+}
+
 func (d *deployment) replicaPrinted(text string) {
 	d.record.add("%s", text)
 	d.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var scenarios = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
 	"crash":    playCrash,
 	"drain":    playDrain,
+	"foreign":  playForeign,
 	"shutdown": playShutdown,
 }
 
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -25,13 +25,14 @@
 	gap    time.Duration
 	// unframed is set if answers have no length and end with their connection.
 	unframed bool
-	start    time.Time
+	// foreign is set for a server that is no replica.
+	foreign bool
 }
 
 // runReplica serves until the process is killed. It prints what it ran.
 func runReplica(args []string) error {
 	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
-	r := &replica{start: time.Now()}
+	r := &replica{}
 	address := flags.String("address", "", "the address to listen on")
 	flags.StringVar(&r.id, "id", "", "the replica's id")
 	flags.StringVar(&r.stage, "stage", "", "prefill or decode; empty for a plain service")
@@ -40,6 +41,7 @@
 	flags.IntVar(&r.events, "events", 0, "number of events of a stream")
 	flags.DurationVar(&r.gap, "gap", 0, "time between two events")
 	flags.BoolVar(&r.unframed, "unframed", false, "answers end with their connection")
+	flags.BoolVar(&r.foreign, "foreign", false, "the server is no replica")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -48,16 +50,30 @@
 		return err
 	}
 	mux := http.NewServeMux()
+	if r.foreign {
+		mux.HandleFunc("/", r.serveForeign)
+		return serve(listener, mux)
+	}
 	mux.HandleFunc("GET /api/report", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]any{"stage": r.stage, "models": []any{}, "busy": false, "sequence": 0, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 500000, "kv_handles": 0})
 	})
 	mux.HandleFunc("POST /api/order", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
 	mux.HandleFunc("DELETE /api/kv-handle/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", r.serve)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	return serve(listener, mux)
+}
+
+func serve(listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	return server.Serve(listener)
 }
 
+// serveForeign runs a request and answers as a server does that is no replica.
+func (r *replica) serveForeign(w http.ResponseWriter, req *http.Request) {
+	r.print("runs %s", req.Header.Get("X-Attempt-Id"))
+	_, _ = io.WriteString(w, "done\n")
+}
+
 // print writes one line of the record to standard output.
 func (r *replica) print(format string, args ...any) {
 	_, _ = fmt.Fprintf(os.Stdout, "%s: %s\n", r.id, fmt.Sprintf(format, args...))
