--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -13,62 +14,67 @@
 	crashAfter  = 12
 )
 
-// playCrash kills a model replica in the middle of a stream that ends with its connection.
+// crashDelay is the time from the output of a replica to its end: the output has reached the
+// entry host by then.
+const crashDelay = 30 * time.Millisecond
+
+// playCrash kills replicas in the middle of answers that end with their connection: one that
+// streams, and one that answers an order.
 func playCrash(ctx context.Context, d *deployment, trouble bool) (bool, error) {
 	if err := d.startSmall(ctx, fmt.Sprintf("--events=%d", crashEvents), "--gap=80ms", "--unframed"); err != nil {
 		return false, err
 	}
+	whole := ""
+	for n := 1; n <= crashEvents; n++ {
+		whole += event("stream", n)
+	}
+	stream, err := d.playOneCrash(trouble, "stream", "/chat/talk", fmt.Sprintf("has sent piece %d of %d of stream", crashAfter, crashEvents), whole)
+	if err != nil {
+		return false, err
+	}
+	order, err := d.playOneCrash(trouble, "order", "/order/short", "has sent the first half of the answer to order", plainBody("order"))
+	return stream || order, err
+}
+
+// playOneCrash sends a request and kills the replica that prints the line. It reports whether
+// the client got a part of the whole body as a complete answer.
+func (d *deployment) playOneCrash(trouble bool, id, path, line, whole string) (bool, error) {
+	c, err := dial(d.frontends[0].address)
+	if err != nil {
+		return false, err
+	}
+	defer c.conn.Close()
 	answered := make(chan *answer, 1)
 	go func() {
-		c, err := dial(d.frontends[0].address)
-		if err != nil {
-			answered <- &answer{err: err}
-			return
-		}
-		defer c.conn.Close()
-		answered <- c.send("stream", "/chat/talk", "X-Model: m\r\nX-Token-Count: 100,30\r\nX-Prefix-Hash: 5c1e07a2:50,91bd3f06:50\r\n", "hello", 8*time.Second)
+		answered <- c.send(id, path, "X-Model: m\r\nX-Token-Count: 100,30\r\nX-Prefix-Hash: 5c1e07a2:50,91bd3f06:50\r\n", "hello", 8*time.Second)
 	}()
 	for deadline := time.Now().Add(4 * time.Second); trouble && time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		if id := d.sender("stream", crashAfter); id != "" {
-			time.Sleep(30 * time.Millisecond) // the event has reached the entry host
-			if err := d.kill(id); err != nil {
+		if p := d.printer(line); p != nil {
+			time.Sleep(crashDelay)
+			if err := p.cmd.Process.Kill(); err != nil {
 				return false, err
 			}
-			d.record.add("SIGKILL to %s", id)
+			d.record.add("SIGKILL to %s", p.name)
 			break
 		}
 	}
 	a := <-answered
-	d.record.add("client: %s", a)
-	whole := ""
-	for n := 1; n <= crashEvents; n++ {
-		whole += event("stream", n)
-	}
+	d.record.add("client of %s: %s", id, a)
 	if a.status == 0 {
-		return false, fmt.Errorf("the stream was not answered: %s", a)
+		return false, fmt.Errorf("%s was not answered: %s", id, a)
 	}
-	d.record.add("the whole body has %d bytes, the client got %d and a complete answer: %v", len(whole), len(a.body), a.complete)
+	d.record.add("the whole body of %s has %d bytes, the client got %d and a complete answer: %v", id, len(whole), len(a.body), a.complete)
 	return a.status == 200 && a.complete && a.body != whole, nil
 }
 
-// sender returns the replica that has sent the event with the number n; empty for none.
-func (d *deployment) sender(request string, n int) string {
-	for _, id := range []string{"i-llm2", "i-llm3"} {
-		if d.printed(fmt.Sprintf("%s: has sent piece %d of %d of %s", id, n, crashEvents, request)) {
-			return id
-		}
-	}
-	return ""
-}
-
-// kill ends a process at once.
-func (d *deployment) kill(name string) error {
+// printer returns the replica that has printed a line; nil for none.
+func (d *deployment) printer(line string) *process {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.processes {
-		if p.name == name {
-			return p.cmd.Process.Kill()
+		if strings.HasPrefix(p.name, "i-") && d.lines[p.name+": "+line] {
+			return p
 		}
 	}
-	return fmt.Errorf("there is no process %s", name)
+	return nil
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -86,9 +87,15 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddress returns an address on which nothing listens.
+// loopbackHost returns a loopback address that no other process is likely to use.
+func loopbackHost() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)) //nolint:gosec // no secret
+}
+
+// freeAddress returns an address on which nothing listens. Its port is not one of those
+// that connections on the common loopback address take.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // closed at once
+	listener, err := net.Listen("tcp4", loopbackHost()+":0") //nolint:noctx // closed at once
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -120,6 +120,7 @@
 		r.servePlain(ctx, w, req, id)
 		return
 	}
+	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	write, end, breakOff, err := r.streamWriter(w)
 	if err != nil {
@@ -160,13 +161,35 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.print("has done the work of %s", id)
-	_, _ = io.WriteString(w, plainBody(id))
+	body := plainBody(id)
+	if r.unframed {
+		r.writeHalves(ctx, w, id, body)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+	r.print("ends %s", id)
+}
+
+// halfGap is the time between the halves of an answer that ends with its connection.
+const halfGap = 300 * time.Millisecond
+
+// writeHalves writes an answer that ends with its connection in two halves.
+func (r *replica) writeHalves(ctx context.Context, w http.ResponseWriter, id, body string) {
+	write, end, breakOff, err := r.streamWriter(w)
+	if err != nil || write(body[:len(body)/2]) != nil {
+		return
+	}
+	defer end()
+	r.print("has sent the first half of the answer to %s", id)
+	if !pause(ctx, halfGap) || write(body[len(body)/2:]) != nil {
+		breakOff()
+		return
+	}
 	r.print("ends %s", id)
 }
 
 // streamWriter returns functions that write to the stream, end it and break it off.
 func (r *replica) streamWriter(w http.ResponseWriter) (write func(string) error, end, breakOff func(), err error) {
-	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	if !r.unframed {
 		return func(text string) error {
