--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -41,6 +41,8 @@
 	mu sync.Mutex // guards the fields below
 	// processes are the processes started.
 	processes []*process
+	// ended is set once they are ended; no other is started then.
+	ended bool
 	// lines are those that replicas printed.
 	lines map[string]bool
 }
@@ -112,13 +114,10 @@
 		return nil, err
 	}
 	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
+	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	if err := d.launch(p); err != nil {
 		return nil, err
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
-	d.mu.Lock()
-	d.processes = append(d.processes, p)
-	d.mu.Unlock()
 	go func() {
 		defer close(p.done)
 		for scanner := bufio.NewScanner(out); scanner.Scan(); {
@@ -129,10 +128,26 @@
 	return p, nil
 }
 
+// launch starts a process, unless all have been ended.
+func (d *deployment) launch(p *process) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return errStopped
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	d.processes = append(d.processes, p)
+	d.record.add("process %s started, id %d", p.name, p.cmd.Process.Pid)
+	return nil
+}
+
 // end ends all processes that were started and removes the folder.
 func (d *deployment) end() {
 	d.mu.Lock()
 	processes := d.processes
+	d.ended = true
 	d.mu.Unlock()
 	for _, p := range processes {
 		_ = p.cmd.Process.Kill()
@@ -145,29 +160,29 @@
 }
 
 // addReplica starts a replica and registers it.
-func (d *deployment) addReplica(id, service, stage string, flags ...string) (*process, error) {
+func (d *deployment) addReplica(id, service, stage string, flags ...string) error {
 	address, err := freeAddress()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	command := append([]string{self, "replica", "--id=" + id, "--address=" + address, "--stage=" + stage}, flags...)
-	p, err := d.start(id, nil, command, d.replicaPrinted)
+	_, err = d.start(id, nil, command, d.replicaPrinted)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "address": address, "zone": "a", "version": "v1", "slots": 64, "state": "ready", "cold_left_ms": 0,
 		"stage": stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	d.store.put("servers/"+id, string(entry))
-	return p, nil
+	return nil
 }
 
 // startServer starts a server that is no replica: it runs what it gets and knows none of the
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a scenario.
@@ -50,12 +54,21 @@
 	}
 }
 
+// limit bounds the time of a scenario.
+const limit = 100 * time.Second
+
+// errStopped reports a scenario that was stopped by a signal or took too long.
+var errStopped = errors.New("stopped by a signal, or too slow")
+
+// play plays a scenario and ends all processes that it started, also if it is stopped.
 func play(name, binary, recordPath string) (bool, error) {
 	rec, err := newRecord(recordPath)
 	if err != nil {
 		return false, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer cancel()
+	ctx, cancel := context.WithTimeout(stop, limit)
 	defer cancel()
 	d, err := newDeployment(ctx, rec, binary)
 	if err != nil {
@@ -64,7 +77,20 @@
 	defer d.end()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("scenario %s, trouble %v", name, trouble)
-	broken, err := scenarios[name](ctx, d, trouble)
-	rec.add("broken: %v, error: %v", broken, err)
-	return broken, err
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	played := make(chan outcome, 1)
+	go func() {
+		broken, err := scenarios[name](ctx, d, trouble)
+		played <- outcome{broken, err}
+	}()
+	select {
+	case o := <-played:
+		rec.add("broken: %v, error: %v", o.broken, o.err)
+		return o.broken, o.err
+	case <-ctx.Done():
+		return false, errStopped
+	}
 }
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -90,14 +90,20 @@
 	return a
 }
 
-// startSmall starts three entry hosts, three model replicas and three replicas of the
-// order service, and waits until they run calmly.
+// orderReplicas is the number of replicas of the order service.
+const orderReplicas = 4
+
+// startSmall starts three entry hosts, four model replicas and four replicas of the order
+// service, and waits until they run calmly.
 func (d *deployment) startSmall(ctx context.Context, flags ...string) error {
 	d.configure()
-	for _, r := range []struct{ id, service, stage string }{
-		{"i-llm1", "llm", "prefill"}, {"i-llm2", "llm", "decode"}, {"i-llm3", "llm", "decode"}, {"i-app1", "app", ""}, {"i-app2", "app", ""}, {"i-app3", "app", ""},
-	} {
-		if _, err := d.addReplica(r.id, r.service, r.stage, flags...); err != nil {
+	for i, stage := range []string{"prefill", "prefill", "decode", "decode"} {
+		if err := d.addReplica(fmt.Sprintf("i-llm%d", i+1), "llm", stage, flags...); err != nil {
+			return err
+		}
+	}
+	for i := range orderReplicas {
+		if err := d.addReplica(fmt.Sprintf("i-app%d", i+1), "app", "", flags...); err != nil {
 			return err
 		}
 	}
@@ -121,7 +127,7 @@
 	for i, a := range answers {
 		id := fmt.Sprintf("late%d", i)
 		ran := false
-		for n := range 3 {
+		for n := range orderReplicas {
 			ran = ran || d.printed(fmt.Sprintf("i-app%d: runs %s", n+1, id))
 		}
 		lost := ran && !a.complete && a.ended.Sub(a.sent) < orderTimeout && a.ended.Sub(start) < (graceS+1)*time.Second
