termination: a stopping host begins only what it can finish, and answers what it began

Cause: admission, drain and close each had an idea of their own of when a stopping host ends (end of the grace period; 0.8 s before it; 0.4 s after the drain). What passes the first was cut by the third. Steps after the admission asked none of them.

Change: internal/termination holds one plan. Admission and each later step (quota, repeat, decode after prefill, resumption) ask it: a request begins if its deadline is before the end, or within 3 s of the stop if such requests usually end in time (mean and deviations, RFC 6298). After the drain new requests are refused as not run; admitted ones are waited for to the end, and then get 502 rather than a closed connection. The process exits without waiting for a silent store.

TestServerRefuses' case "ending" states its 1 s that is left by a plan, as before by a constant.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -62,29 +62,7 @@
 	if req.service == nil {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_service", "the route's service is not configured").After(unreadyRetryAfter)
 	}
-	return req.checkTermination()
-}
-
-const (
-	// minStreamTime is the time to allow for a stream. minPlainTime is the time
-	// to allow for a plain request. A process that terminates sooner than that
-	// refuses the request, because another host can complete it.
-	minStreamTime = 5 * time.Second
-	minPlainTime  = 1500 * time.Millisecond
-)
-
-// checkTermination refuses a request that the terminating process would have to
-// interrupt.
-func (req *request) checkTermination() error {
-	remaining, terminating := req.gateway.opts.Terminating()
-	required := minPlainTime
-	if req.route.Kind == catalog.Stream {
-		required = minStreamTime
-	}
-	if !terminating || remaining >= required {
-		return nil
-	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "host_ending", "this host is about to end").After(unreadyRetryAfter)
+	return req.mayBegin()
 }
 
 func errStaleConfiguration() error {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -29,6 +29,7 @@
 	} else {
 		header.Del("Content-Length")
 	}
+	req.closeIfStopping()
 	req.headerWritten = true
 	_ = http.NewResponseController(req.writer).SetWriteDeadline(req.deadline.Add(writeMargin))
 	req.writer.WriteHeader(reply.Status)
@@ -66,6 +67,7 @@
 // started. If one has been started, or the caller is gone, it aborts the connection.
 func (req *request) finish(err error) {
 	req.logOutcome(err)
+	req.observeDuration(err)
 	if err == nil {
 		return
 	}
@@ -81,6 +83,7 @@
 	if failure.Verdict == verdict.NotRun && failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	req.closeIfStopping()
 	req.writer.WriteHeader(failure.Status)
 	if err := json.NewEncoder(req.writer).Encode(errorBody{Code: failure.Code, Message: failure.Message, Verdict: failure.Verdict.String()}); err != nil {
 		req.gateway.opts.Log.Debug("failed to write error response", observe.FieldError, err)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -31,11 +32,9 @@
 	endpoints *endpoint.Set
 	quota     *fakeQuota
 	usage     fakeUsage
-	// remaining and terminating are the results of Options.Terminating.
 	// leads is the result of Options.Leads.
 	leads       bool
-	remaining   time.Duration
-	terminating bool
+	termination *termination.State
 	// delay is the result of Options.SchedulingDelay.
 	delay time.Duration
 
@@ -60,6 +59,8 @@
 	// refusals is the number of reservations to refuse with a short delay
 	// first.
 	refusals int
+	// refused is called at each of them; nil for none.
+	refused func()
 	// unlimited grants everything.
 	unlimited bool
 }
@@ -67,6 +68,9 @@
 func (q *fakeQuota) Reserve(_ time.Time, _ *catalog.Workspace, n int64) (time.Duration, bool) {
 	if q.refusals > 0 {
 		q.refusals--
+		if q.refused != nil {
+			q.refused()
+		}
 		return time.Millisecond, false
 	}
 	q.reserved += n
@@ -112,7 +116,7 @@
 func (f *fixture) Release(context.Context, *endpoint.Endpoint, Prefilled) error { return nil }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, quota: &fakeQuota{}}
+	f := &fixture{t: t, quota: &fakeQuota{}, termination: termination.NewState()}
 	f.catalog = catalog.NewCache(lease.SystemClock{}, time.Minute)
 	f.endpoints = endpoint.NewSet(time.Second)
 	f.prefill = func(context.Context, *Dispatch) (Prefilled, error) { return Prefilled{CacheSource: "cache"}, nil }
@@ -122,7 +126,7 @@
 		Suspects: suspect.NewLedger(time.Now(), "h", suspect.NewMetrics(observe.NewRegistry(observe.Identity{})), slog.New(slog.DiscardHandler)), Quota: f.quota, Usage: &f.usage,
 		Budget: NewRetryBudget(time.Now(), 0.2, 10*time.Second, func() float64 { return 20 }),
 		Bodies: bodybudget.New(0), SchedulingDelay: func() time.Duration { return f.delay },
-		Domain: "d", HostCount: func() int { return 1 }, Terminating: func() (time.Duration, bool) { return f.remaining, f.terminating },
+		Domain: "d", HostCount: func() int { return 1 }, Termination: f.termination,
 		Metrics: NewMetrics(observe.NewRegistry(observe.Identity{})), Log: slog.New(slog.DiscardHandler),
 	})
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/acacialink/acacialink/internal/bodybudget"
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/termination"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -26,6 +27,8 @@
 	probes singleflight.Group
 	// darkProbes joins those of engines that fell silent.
 	darkProbes singleflight.Group
+	// durations holds how long requests usually take.
+	durations termination.Durations[requestKind]
 }
 
 // New returns a gateway with the given options.
@@ -92,9 +95,6 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	req := &request{gateway: g, writer: w, knowsChunks: r.ProtoAtLeast(1, 1), start: time.Now().Add(-g.opts.SchedulingDelay()), excluded: make(map[string]bool)}
-	if _, terminating := g.opts.Terminating(); terminating {
-		w.Header().Set("Connection", "close")
-	}
 	err := req.serve(r)
 	req.finish(err)
 }
@@ -123,6 +123,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(lateMargin))
 	defer cancel()
+	defer context.AfterFunc(req.gateway.opts.Termination.Interrupted(), cancel)()
 	retry, ok := req.waitForQuota(ctx)
 	if !ok {
 		req.logAttrs = append(req.logAttrs, slog.Int64("tokens", req.reservedTokens), slog.Duration("retry_ms", retry), slog.Float64("rate", req.workspace.Rate))
@@ -140,7 +141,7 @@
 	if err != nil && r.Context().Err() != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
-	return err
+	return req.interruptedError(err)
 }
 
 // lateMargin is the time after a request's deadline at which its context is
@@ -162,6 +163,8 @@
 	if err := control.SetReadDeadline(req.deadline); err != nil {
 		req.gateway.opts.Log.Warn("failed to set the read deadline on the caller's connection", observe.FieldError, err)
 	}
+	interrupted := context.AfterFunc(req.gateway.opts.Termination.Interrupted(), func() { _ = control.SetReadDeadline(time.Now()) })
+	defer interrupted()
 	reader := req.gateway.opts.Bodies.NewReader(http.MaxBytesReader(req.writer, r.Body, limit))
 	body, err := io.ReadAll(reader)
 	var tooBig *http.MaxBytesError
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/lease"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 func TestPlainResponseIsRelayedUnchanged(t *testing.T) {
@@ -59,7 +60,10 @@
 			f.gateway.opts.Catalog = h
 		}, "/none/x", nil, http.StatusServiceUnavailable, "stale_configuration"},
 		{"over the rate", func(f *fixture) { f.configure().quota.reserved = 1_000_000 }, "/stream/x", []string{"Prompt", "5"}, http.StatusTooManyRequests, "rate_limited"},
-		{"ending", func(f *fixture) { f.configure(); f.terminating, f.remaining = true, time.Second }, "/stream/x", nil, http.StatusServiceUnavailable, "host_ending"},
+		{"ending", func(f *fixture) {
+			f.configure()
+			f.termination.Begin(termination.NewPlan(time.Now().Add(-7*time.Second), 8*time.Second))
+		}, "/stream/x", nil, http.StatusServiceUnavailable, "host_ending"},
 		{"no endpoint", func(f *fixture) { f.configure().endpoints.Replace(time.Now(), 0, nil) }, "/once/x", nil, http.StatusServiceUnavailable, "no_endpoint"},
 		{"too late", func(f *fixture) { f.configure() }, "/stream/x", []string{"Prompt", "900000"}, http.StatusServiceUnavailable, "too_late"},
 	} {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -9,6 +9,7 @@
 	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 // Quota enforces the rate limits of workspaces.
@@ -48,9 +49,8 @@
 	// HostCount returns the number of hosts that share the endpoints' connection
 	// limits.
 	HostCount func() int
-	// Terminating reports whether the process is terminating, and the time that
-	// remains.
-	Terminating func() (remaining time.Duration, terminating bool)
+	// Termination is how far the stop of the process is.
+	Termination *termination.State
 	// SchedulingDelay returns by how much this process is currently late to run
 	// what is ready to run. A request has waited about that long before it is
 	// handled.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -15,6 +15,9 @@
 func (req *request) servePlain(ctx context.Context) error {
 	var lastErr error
 	for {
+		if err := req.mayGoOn(lastErr); err != nil {
+			return req.finalError(err)
+		}
 		target := req.gateway.opts.Tracker.LeastLoaded(time.Now(), req.gateway.opts.Endpoints.Service(req.service.Name), req.excluded)
 		if target == nil {
 			if lastErr == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,9 @@
 		if err := req.checkSegments(); err != nil {
 			return req.finalError(err)
 		}
+		if err := req.mayGoOn(lastErr); err != nil {
+			return req.finalError(err)
+		}
 		plan, err := req.planWithinRates(ctx, job, out)
 		if err != nil {
 			if lastErr != nil {
@@ -169,6 +172,10 @@
 		req.releaseCache(plan, prefilled)
 		return req.noPlace()
 	}
+	if err := req.mayGoOn(nil); err != nil {
+		req.releaseCache(plan, prefilled)
+		return err
+	}
 	plan.Decode = engine
 	flight := req.gateway.opts.Tracker.BeginDecode(time.Now(), plan.Decode, job)
 	dispatch := req.newDispatch(plan.Decode)
--- /dev/null
+++ b/internal/gateway/termination_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/termination"
+)
+
+// Guards against steps after the admission that a stopping host begins and cannot finish:
+// a wait for the quota, a repeat, a decode after its prefill, a resumed stream.
+func TestStoppingHostBeginsNoStepThatItCannotFinish(t *testing.T) {
+	nearlyOver := func(f *fixture) {
+		f.termination.Begin(termination.NewPlan(time.Now().Add(-7*time.Second), 8*time.Second))
+	}
+	for _, c := range []struct {
+		name, path string
+		prepare    func(f *fixture)
+		status     int
+		sends      int
+	}{
+		{"after a wait for the quota", "/once/x", func(f *fixture) {
+			f.quota.refusals = 1
+			f.quota.refused = func() { nearlyOver(f) }
+		}, http.StatusServiceUnavailable, 0},
+		{"repeat", "/read/x", func(f *fixture) {
+			f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+				nearlyOver(f)
+				return nil, errEndpointLost
+			}
+		}, http.StatusBadGateway, 1},
+		{"repeat after a rejection", "/once/x", func(f *fixture) {
+			f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+				nearlyOver(f)
+				return rejectedReply(), nil
+			}
+		}, http.StatusServiceUnavailable, 1},
+		{"decode after a prefill", "/stream/x", func(f *fixture) {
+			f.prefill = func(context.Context, *Dispatch) (Prefilled, error) {
+				nearlyOver(f)
+				return Prefilled{CacheSource: "cache"}, nil
+			}
+		}, http.StatusServiceUnavailable, 0},
+		{"resumed stream", "/resume/x", func(f *fixture) {
+			f.send = func(int, context.Context, *Dispatch) (*Reply, error) {
+				nearlyOver(f)
+				return truncatedReply("id: 1\ndata: a\n\n"), nil
+			}
+		}, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t).configure()
+			f.send = func(int, context.Context, *Dispatch) (*Reply, error) { return newReply(http.StatusOK, "ok"), nil }
+			c.prepare(f)
+			w := f.serve(c.path, "Prompt", "4000")
+			is.Equal(w.Code, c.status)
+			is.Equal(len(f.sends), c.sends)
+			is.Equal(w.Header().Get("Connection"), "close")
+		})
+	}
+}
+
+// Guards against requests that the end of the host cuts off without an answer.
+func TestInterruptedRequestIsAnswered(t *testing.T) {
+	for _, path := range []string{"/once/x", "/read/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t).configure()
+			f.send = func(_ int, ctx context.Context, _ *Dispatch) (*Reply, error) {
+				f.termination.Begin(termination.NewPlan(time.Now(), 8*time.Second))
+				f.termination.Interrupt()
+				<-ctx.Done()
+				return nil, errEndpointLost
+			}
+			w := f.serve(path, "Prompt", "5")
+			is.Equal(w.Code, http.StatusBadGateway)
+			is.Equal(len(f.sends), 1)
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/acacialink/acacialink/internal/peer"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 const (
@@ -92,9 +93,7 @@
 	leaderTasks *leader.Runner
 	gateway     *gateway.Gateway
 	delays      schedulingDelays
-	draining    atomic.Bool
-	// exitDeadline is when the process must have exited; nil unless it drains.
-	exitDeadline atomic.Pointer[time.Time]
+	termination *termination.State
 	// listedRevision is the store revision of the last listing of endpoints.
 	listedRevision atomic.Int64
 
@@ -119,7 +118,7 @@
 func New(opts Options) *Host {
 	opts.Settings = opts.Settings.withDefaults()
 	s := opts.Settings
-	h := &Host{opts: opts, startedAt: time.Now(), incarnation: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), undecodable: make(map[string]backing.Revision), stageChanges: make(map[string]time.Time), peerVersions: make(map[string]peer.VersionReports), incarnations: make(map[string]string)}
+	h := &Host{opts: opts, startedAt: time.Now(), termination: termination.NewState(), incarnation: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36), undecodable: make(map[string]backing.Revision), stageChanges: make(map[string]time.Time), peerVersions: make(map[string]peer.VersionReports), incarnations: make(map[string]string)}
 	h.catalog = catalog.NewCache(h.clock, s.KeyRevocationBound-freshMargin)
 	h.endpoints = endpoint.NewSet(s.ReregistrationTimeout)
 	h.registry = newRegistry(h.clock)
@@ -156,7 +155,7 @@
 		Ingress: opts.Ports.Ingress, Sender: opts.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker, Suspects: h.suspects, Leads: h.isLeader,
 		Quota: h.quota, Usage: h.counter, Budget: gateway.NewRetryBudget(h.startedAt, s.RetryRatio*retryBudgetShare, s.RetryWindow, h.retrySlack),
 		Bodies: bodybudget.New(int64(bodyMemoryFraction * float64(s.MemoryBytes))), Domain: s.Domain, HostCount: h.hostCount,
-		Terminating: h.timeToExit, SchedulingDelay: h.delays.Current, Metrics: gateway.NewMetrics(opts.Registry), Log: opts.Log,
+		Termination: h.termination, SchedulingDelay: h.delays.Current, Metrics: gateway.NewMetrics(opts.Registry), Log: opts.Log,
 	})
 	return h
 }
@@ -202,7 +201,7 @@
 // Ready reports whether callers should be routed to this host: it is not draining,
 // its configuration is confirmed, and its endpoints are listed.
 func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.HasListing()
+	return !h.termination.Stopping() && h.catalog.Current() != nil && h.catalog.Fresh() && h.endpoints.HasListing()
 }
 
 // Run serves until stop is done, and then drains. It returns early with an error
@@ -237,10 +236,10 @@
 		return err
 	case <-stop.Done():
 	}
-	h.drain()
-	err = shutDown(server, callers, &open)
+	plan := h.drain()
+	err = h.shutDown(server, callers, &open, plan)
 	cancel()
-	wait()
+	awaitExit(wait, plan.Exit)
 	return err
 }
 
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -45,5 +45,5 @@
 	if leaderName != "" && fresh {
 		return leaderName, true
 	}
-	return h.opts.Settings.Name, h.watchesStore() && !h.draining.Load()
+	return h.opts.Settings.Name, h.watchesStore() && !h.termination.Stopping()
 }
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -143,7 +143,7 @@
 func (h *Host) grant(in *peer.ReserveRequest) *peer.ReserveResponse {
 	now := time.Now()
 	config := h.catalog.Current()
-	if config == nil || !h.quota.complete(now) || h.draining.Load() {
+	if config == nil || !h.quota.complete(now) || h.termination.Stopping() {
 		return &peer.ReserveResponse{NotReady: true}
 	}
 	out := &peer.ReserveResponse{Grants: make([]peer.Grant, len(in.Reservations))}
--- a/internal/host/quota_test.go
+++ b/internal/host/quota_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/peer"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 // newGrantHost returns a host with one workspace of 1,000 tokens a second.
@@ -30,7 +31,7 @@
 	reserve("w", 900, 0) // returned
 	is.True(reserve("w", 900, -1).Grants[0].OK)
 	is.True(reserve("unknown", 1, -1).NotReady)
-	h.draining.Store(true)
+	h.termination.Begin(termination.NewPlan(time.Now(), 8*time.Second))
 	is.True(reserve("w", 1, -1).NotReady)
 }
 
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
-	"github.com/acacialink/acacialink/internal/httpdrain"
 	"github.com/acacialink/acacialink/internal/suspectapi"
 )
 
@@ -32,20 +31,6 @@
 	}
 }
 
-// shutdownTimeout bounds the wait for requests that came in during the last moments of
-// the drain.
-const shutdownTimeout = shutdownReserve / 2
-
-// shutDown closes the listener, waits until all requests that were accepted have their
-// response, at most for shutdownTimeout, and closes the server.
-func shutDown(server *http.Server, l net.Listener, open *httpdrain.Tracker) error {
-	_ = l.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	open.Wait(ctx)
-	return server.Close()
-}
-
 // suspectsPath is the path below which operators see and change the segments that are
 // held back.
 const suspectsPath = "/suspects"
--- a/internal/host/serve_test.go
+++ b/internal/host/serve_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/acacialink/acacialink/internal/httpdrain"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 // A request that has just been accepted when the drain ends gets its response: both one
@@ -59,7 +60,9 @@
 	<-started
 	arriving := send("GET / HTTP/1.1\r\n", "Host: h\r\n\r\n")
 	time.Sleep(10 * time.Millisecond) // the server has read the first line
-	is.NoErr(shutDown(server, l, &open))
+	plan := termination.NewPlan(time.Now(), h.opts.Settings.GracePeriod)
+	h.termination.Begin(plan)
+	is.NoErr(h.shutDown(server, l, &open, plan))
 	is.Equal(<-inProgress, "answer")
 	is.Equal(<-arriving, "answer")
 	is.True(<-served != nil)
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -25,7 +25,7 @@
 		Delegate: state.Delegate, Members: state.Members,
 		Loads:          h.tracker.Loads(now, func(host string) bool { return members[host] }),
 		ConsumedTokens: h.limiter.Usage(), StageChanges: h.pendingStageChanges(), Rates: h.tracker.Statements(now),
-		Leader: h.isLeader() && !h.draining.Load(), Draining: h.draining.Load(),
+		Leader: h.isLeader() && !h.termination.Stopping(), Draining: h.termination.Stopping(),
 	}
 	if !state.Delegate {
 		s.WindowTokens = h.limiter.RecentUsage(now)
@@ -58,7 +58,7 @@
 // currentLeader returns the leader that this host is or is in touch with; empty if
 // there is none.
 func (h *Host) currentLeader() string {
-	if h.isLeader() && !h.draining.Load() {
+	if h.isLeader() && !h.termination.Stopping() {
 		return h.opts.Settings.Name
 	}
 	if h.leaderReachable() {
@@ -217,7 +217,7 @@
 	h.mu.Lock()
 	leaderName, fresh := h.leader, time.Since(h.leaderAt) < leaderReportTTL
 	h.mu.Unlock()
-	if leaderName == "" || !fresh || h.draining.Load() {
+	if leaderName == "" || !fresh || h.termination.Stopping() {
 		return false
 	}
 	state := h.group.State()
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -13,7 +13,7 @@
 	configAge, configKnown := h.catalog.Age()
 	endpointsAge, endpointsKnown := h.registry.age()
 	return peer.VersionReports{
-		WatchesStore: endpointsKnown && !h.endpointPoller.failing.Load() && !h.draining.Load() && h.watchesStore(),
+		WatchesStore: endpointsKnown && !h.endpointPoller.failing.Load() && !h.termination.Stopping() && h.watchesStore(),
 		Config:       versionReport(uint64(h.catalog.Revision()), configAge, configKnown), //nolint:gosec // a revision is not negative
 		Endpoints:    versionReport(h.registry.view.Sum(), endpointsAge, endpointsKnown),
 	}
--- a/internal/httpdrain/tracker.go
+++ b/internal/httpdrain/tracker.go
@@ -13,7 +13,7 @@
 // be arriving. http.Server.Shutdown drops the latter. It is safe for concurrent use.
 type Tracker struct {
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns map[net.Conn]http.ConnState
 }
 
 // Track makes the server report the states of its connections. It must be called before
@@ -28,9 +28,9 @@
 		return
 	}
 	if t.conns == nil {
-		t.conns = make(map[net.Conn]struct{})
+		t.conns = make(map[net.Conn]http.ConnState)
 	}
-	t.conns[c] = struct{}{}
+	t.conns[c] = state
 }
 
 // pollInterval is the time between checks in Wait.
@@ -39,9 +39,18 @@
 // Wait waits until no request is in progress or arriving, or ctx ends. The listener
 // should be closed before.
 func (t *Tracker) Wait(ctx context.Context) {
+	wait(ctx, func() bool { return t.count(http.StateNew)+t.count(http.StateActive) == 0 })
+}
+
+// WaitAnswered waits until no request is in progress, or ctx ends.
+func (t *Tracker) WaitAnswered(ctx context.Context) {
+	wait(ctx, func() bool { return t.count(http.StateActive) == 0 })
+}
+
+func wait(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for !t.none() {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return
@@ -50,8 +59,14 @@
 	}
 }
 
-func (t *Tracker) none() bool {
+func (t *Tracker) count(state http.ConnState) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.conns) == 0
+	n := 0
+	for _, s := range t.conns {
+		if s == state {
+			n++
+		}
+	}
+	return n
 }
--- /dev/null
+++ b/internal/termination/durations.go
@@ -0,0 +1,49 @@
+package termination
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// Gains of the mean and of the mean deviation, and the number of deviations above the
+	// mean, as in RFC 6298.
+	meanGain, deviationGain = 8, 4
+	usualDeviations         = 4
+)
+
+// Durations estimates how long kinds of work usually take. It is safe for concurrent use.
+type Durations[K comparable] struct {
+	mu    sync.Mutex // guards kinds
+	kinds map[K]*duration
+}
+
+type duration struct{ mean, deviation time.Duration }
+
+// Observe records how long work of a kind took.
+func (d *Durations[K]) Observe(kind K, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.kinds[kind]
+	if !ok {
+		if d.kinds == nil {
+			d.kinds = make(map[K]*duration)
+		}
+		d.kinds[kind] = &duration{mean: took, deviation: took / 2}
+		return
+	}
+	difference := took - known.mean
+	known.deviation += (difference.Abs() - known.deviation) / deviationGain
+	known.mean += difference / meanGain
+}
+
+// Usual returns a time within which work of a kind usually ends; false if none was observed.
+func (d *Durations[K]) Usual(kind K) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.kinds[kind]
+	if !ok {
+		return 0, false
+	}
+	return known.mean + usualDeviations*known.deviation, true
+}
--- /dev/null
+++ b/internal/termination/plan.go
@@ -0,0 +1,59 @@
+// Package termination decides what a process that was told to stop may still begin, and
+// when its connections end. It answers the load that a host still gets after the stop:
+// new connections until load balancers know, and requests on connections that callers keep.
+package termination
+
+import "time"
+
+const (
+	// noticePeriod is the time after the stop in which callers and load balancers may not
+	// have learned of it.
+	noticePeriod = 3 * time.Second
+	// exitReserve is the time at the end of the grace period that is reserved for the last
+	// responses and the exit. maxExitShare bounds it in short grace periods.
+	exitReserve  = 800 * time.Millisecond
+	maxExitShare = 0.15
+)
+
+// Plan is when a process that was told to stop does what.
+type Plan struct {
+	// Began is when it was told to stop.
+	Began time.Time
+	// NoticeEnd is the time until which requests arrive that could not know of it.
+	NoticeEnd time.Time
+	// End is the time by which each request must have ended. Those that have not are
+	// interrupted.
+	End time.Time
+	// Close is when all connections are closed, whatever is in progress.
+	Close time.Time
+	// Exit is when the process exits, whatever calls of its own are in progress.
+	Exit time.Time
+}
+
+// NewPlan returns the plan of a process that must have exited after the grace period.
+func NewPlan(began time.Time, grace time.Duration) Plan {
+	reserve := min(exitReserve, time.Duration(maxExitShare*float64(grace)))
+	end := began.Add(grace - reserve)
+	return Plan{Began: began, NoticeEnd: began.Add(noticePeriod), End: end, Close: end.Add(reserve / 2), Exit: end.Add(reserve * 3 / 4)}
+}
+
+// Work is what is known of a request's time.
+type Work struct {
+	// Arrived is when it arrived.
+	Arrived time.Time
+	// Deadline is the time by which it ends in any case.
+	Deadline time.Time
+	// Usual is the time that its kind usually takes from now on.
+	Usual time.Duration
+}
+
+// MayBegin reports whether the work may begin now, or go on with another step. Work that
+// ends in time in any case may. Other work may only if it arrived before its caller could
+// know of the stop and usually ends in time: refused work has not run and can go elsewhere,
+// interrupted work may have run.
+func (p Plan) MayBegin(now time.Time, w Work) bool {
+	if !w.Deadline.After(p.End) {
+		return true
+	}
+	return w.Arrived.Before(p.NoticeEnd) && !now.Add(w.Usual).After(p.End)
+}
--- /dev/null
+++ b/internal/termination/state.go
@@ -0,0 +1,51 @@
+package termination
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// State is how far the stop of a process is. It is safe for concurrent use.
+type State struct {
+	plan   atomic.Pointer[Plan]
+	closed atomic.Bool
+
+	interrupted context.Context
+	interrupt   context.CancelFunc
+}
+
+// NewState returns the state of a process that runs.
+func NewState() *State {
+	s := &State{}
+	s.interrupted, s.interrupt = context.WithCancel(context.Background())
+	return s
+}
+
+// Begin starts the stop.
+func (s *State) Begin(p Plan) { s.plan.Store(&p) }
+
+// Stopping reports whether the process was told to stop.
+func (s *State) Stopping() bool { return s.plan.Load() != nil }
+
+// Close refuses all work from now on. Work that was counted as in progress before it asked
+// MayBegin is either refused or seen by whoever waits for the count after Close.
+func (s *State) Close() { s.closed.Store(true) }
+
+// MayBegin reports whether the work may begin now; see Plan.MayBegin.
+func (s *State) MayBegin(now time.Time, w Work) bool {
+	p := s.plan.Load()
+	return p == nil || !s.closed.Load() && p.MayBegin(now, w)
+}
+
+// MayGoOn is MayBegin for work that has begun: Close does not end it.
+func (s *State) MayGoOn(now time.Time, w Work) bool {
+	p := s.plan.Load()
+	return p == nil || p.MayBegin(now, w)
+}
+
+// Interrupt ends all work in progress.
+func (s *State) Interrupt() { s.interrupt() }
+
+// Interrupted returns a context that is done once work in progress must end.
+func (s *State) Interrupted() context.Context { return s.interrupted }
