node, entry: the drain of entry hosts refuses what arrives behind it

Change: httpdrain.ShutDown closes the termination state before the server; entry asks the state, with the usual durations of generations and calls. net/http itself begins no request on a connection that Shutdown closes; a test holds that for later versions.

Before: TestStoppingServerRefusesWhatItCannotFinish has no counterpart, late and closed were served; after: 4 of 4 cases as stated. TestShutDownBeginsNoRequestOnClosedConnection also passes without the new order; it is a guard.

--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -13,6 +13,7 @@
 // Errors shared by several handlers. All have the verdict not-run.
 var (
 	errTooManyOpenRequests = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "overloaded", "the host serves as many requests as it may").After(overloadRetryAfter)
+	errHostEnding          = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "host_ending", "the host is about to end").After(overloadRetryAfter)
 	errNoKey               = verdict.New(verdict.NotRun, http.StatusUnauthorized, "no_key", "the request carries no key")
 	errInvalidKey          = verdict.New(verdict.NotRun, http.StatusUnauthorized, "invalid_key", "the key is unknown or revoked")
 	errKeyInRequest        = verdict.New(verdict.NotRun, http.StatusBadRequest, "key_in_request", "the key must only be sent in the Authorization or X-Api-Key header")
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -12,6 +12,7 @@
 	"github.com/acacialink/acacialink/internal/rpc"
 	"github.com/acacialink/acacialink/internal/snapshot"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 // Config gives access to the configuration of the host.
@@ -139,6 +140,8 @@
 	// for always.
 	Suspects *suspect.Ledger
 	Leads    func() bool
+	// Stop is how far the stop of the host is; nil for a host that does not stop.
+	Stop *termination.State
 	// MaxAttempts is the maximum number of attempts of one request before its first
 	// token; 0 means DefaultMaxAttempts.
 	MaxAttempts int
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/acacialink/acacialink/internal/bodybudget"
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -22,6 +23,8 @@
 	stats        Stats
 	openRequests atomic.Int64
 	bodies       *bodybudget.Budget
+	// durations holds how long generations, by true, and calls usually take.
+	durations termination.Durations[bool]
 }
 
 // DefaultMaxAttempts is the default of Options.MaxAttempts.
@@ -36,6 +39,9 @@
 	if opts.Suspects == nil {
 		opts.Suspects = suspect.NewLedger(time.Now(), "", suspect.NewMetrics(observe.NewRegistry(observe.Identity{})), slog.New(slog.DiscardHandler))
 	}
+	if opts.Stop == nil {
+		opts.Stop = termination.NewState()
+	}
 	if opts.Leads == nil {
 		opts.Leads = func() bool { return true }
 	}
@@ -73,7 +79,14 @@
 		s.writeError(w, r, errTooManyOpenRequests)
 		return
 	}
+	if !s.mayBegin(r) {
+		w.Header().Set("Connection", "close")
+		s.writeError(w, r, errHostEnding)
+		return
+	}
+	start := time.Now()
 	s.router.ServeHTTP(w, r)
+	s.durations.Observe(isGeneration(r), time.Since(start))
 }
 
 func (s *Server) handleNotFound(w http.ResponseWriter, r *http.Request) {
--- a/internal/httpdrain/tracker.go
+++ b/internal/httpdrain/tracker.go
@@ -39,9 +39,12 @@
 // Wait waits until no request is in progress or arriving, or ctx ends. The listener
 // should be closed before.
 func (t *Tracker) Wait(ctx context.Context) {
-	wait(ctx, func() bool { return t.count(http.StateNew)+t.count(http.StateActive) == 0 })
+	wait(ctx, func() bool { return !t.Busy() })
 }
 
+// Busy reports whether a request is in progress or may be arriving.
+func (t *Tracker) Busy() bool { return t.count(http.StateNew)+t.count(http.StateActive) > 0 }
+
 // WaitAnswered waits until no request is in progress, or ctx ends.
 func (t *Tracker) WaitAnswered(ctx context.Context) {
 	wait(ctx, func() bool { return t.count(http.StateActive) == 0 })
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -33,6 +33,7 @@
 	"github.com/acacialink/acacialink/internal/settings"
 	"github.com/acacialink/acacialink/internal/snapshot"
 	"github.com/acacialink/acacialink/internal/suspect"
+	"github.com/acacialink/acacialink/internal/termination"
 	"github.com/acacialink/acacialink/internal/usage"
 )
 
@@ -67,10 +68,12 @@
 	suspects *suspect.Ledger
 	// callerRequests tracks the requests of callers for the graceful shutdown.
 	callerRequests httpdrain.Tracker
-	peers          *rpc.Server
-	rpcStats       rpc.Stats
-	draining       drainState
-	killed         chan struct{}
+	// termination is how far the stop of the host is.
+	termination *termination.State
+	peers       *rpc.Server
+	rpcStats    rpc.Stats
+	draining    drainState
+	killed      chan struct{}
 	// hasBeenReady is set when the host is ready for the first time.
 	hasBeenReady atomic.Bool
 	// usableEndpoints maps the name of each endpoint to a bool that reports whether it was
@@ -96,6 +99,7 @@
 		queues:          entry.NewQueues(queueSettings(s)),
 		capacityChanged: make(chan struct{}, 1),
 		killed:          make(chan struct{}),
+		termination:     termination.NewState(),
 	}
 	e.writeTokens = record.NewWriteTokens(s.Name, e.incarnation)
 	if err := e.listen(ctx); err != nil {
@@ -213,6 +217,7 @@
 		Usage:    e.recorder,
 		Suspects: e.suspects,
 		Leads:    e.leadsTrials,
+		Stop:     e.termination,
 		Limits: entry.Limits{
 			BodyBytes:     s.Limits.BodyBytes,
 			BufferedBytes: s.Limits.BufferedBytes,
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -12,6 +12,7 @@
 	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/opsapi"
 	"github.com/acacialink/acacialink/internal/suspectapi"
+	"github.com/acacialink/acacialink/internal/termination"
 )
 
 // callerServer returns the HTTP server for callers. Request headers are limited in size
@@ -66,6 +67,7 @@
 // open connection.
 func (e *Entry) drain(ctx context.Context, callers *http.Server) {
 	e.draining.start()
+	e.termination.Begin(termination.NewDrain(time.Now(), e.settings.Timeouts.DrainNotice.Std()+e.settings.Timeouts.Drain.Std()))
 	e.members.AnnounceLeaving(time.Now())
 	e.log.Info("drain started")
 	started := time.Now()
@@ -73,7 +75,6 @@
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain.Std())
 	defer cancel()
-	e.callerRequests.Wait(ctx)
-	err := callers.Shutdown(ctx)
+	err := e.callerRequests.ShutDown(ctx, callers, e.termination)
 	e.log.Info("drain finished", "requests_left", e.callers.OpenRequests(), "complete", err == nil, "duration_ms", time.Since(started).Milliseconds())
 }
--- a/internal/termination/plan.go
+++ b/internal/termination/plan.go
@@ -37,11 +37,18 @@
 	return Plan{Began: began, NoticeEnd: began.Add(noticePeriod), End: end, Close: end.Add(reserve / 2), Exit: end.Add(reserve * 3 / 4)}
 }
 
+// NewDrain returns the plan of a process that admits requests until the time that it has for
+// its drain is nearly over: load balancers have moved its callers long before.
+func NewDrain(began time.Time, drain time.Duration) Plan {
+	end := began.Add(drain)
+	return Plan{Began: began, NoticeEnd: end, End: end, Close: end, Exit: end}
+}
+
 // Work is what is known of a request's time.
 type Work struct {
 	// Arrived is when it arrived.
 	Arrived time.Time
-	// Deadline is the time by which it ends in any case.
+	// Deadline is the time by which it ends in any case; zero if there is none.
 	Deadline time.Time
 	// Usual is the time that its kind usually takes from now on.
 	Usual time.Duration
@@ -52,7 +59,7 @@
 // know of the stop and usually ends in time: refused work has not run and can go elsewhere,
 // interrupted work may have run.
 func (p Plan) MayBegin(now time.Time, w Work) bool {
-	if !w.Deadline.After(p.End) {
+	if !w.Deadline.IsZero() && !w.Deadline.After(p.End) {
 		return true
 	}
 	return w.Arrived.Before(p.NoticeEnd) && !now.Add(w.Usual).After(p.End)
