gateway: restarted hosts stay within the slack of the retry budget together

Cause: each process began with its whole share of the slack, while the retries of the process before it were still in the window. Beside it, by reading and shown by the same test: a host's share grew when entries of hosts that live had expired from the directory.

Change: RetrySlack gives a host that is not starting for the first time no slack for one window, and counts hosts for a minute after they left.

The property test TestRestartedHostsStayWithinSlackTogether fails without either part: 576 and 61 retries, 56 allowed.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -153,30 +153,16 @@
 	h.leaderTasks = h.newLeaderTasks()
 	h.gateway = gateway.New(gateway.Options{
 		Ingress: opts.Ports.Ingress, Sender: opts.Ports.Sender, Catalog: h.catalog, Endpoints: h.endpoints, Tracker: h.tracker, Suspects: h.suspects, Leads: h.isLeader,
-		Quota: h.quota, Usage: h.counter, Budget: gateway.NewRetryBudget(h.startedAt, s.RetryRatio*retryBudgetShare, s.RetryWindow, h.retrySlack),
+		Quota: h.quota, Usage: h.counter, Budget: h.newRetryBudget(),
 		Bodies: bodybudget.New(int64(bodyMemoryFraction * float64(s.MemoryBytes))), Domain: s.Domain, HostCount: h.hostCount,
 		Termination: h.termination, SchedulingDelay: h.delays.Current, Metrics: gateway.NewMetrics(opts.Registry), Log: opts.Log,
 	})
 	return h
 }
 
-const (
-	// bodyMemoryFraction is the fraction of the memory limit that request bodies may
-	// occupy together.
-	bodyMemoryFraction = 0.25
-	// retryBudgetShare is the share of the retry budget that is used. The rest
-	// covers differences in the counts at the edges of sliding windows.
-	retryBudgetShare = 0.8
-	// minRetrySlackHosts is the least number of hosts among which the slack of the
-	// retry budget is divided, so that hosts that restart at the same time stay
-	// within the slack.
-	minRetrySlackHosts = 5
-)
-
-// retrySlack returns this host's share of the slack of the retry budget.
-func (h *Host) retrySlack() float64 {
-	return retryBudgetShare * h.opts.Settings.RetrySlack / float64(max(minRetrySlackHosts, h.hostCount()))
-}
+// bodyMemoryFraction is the fraction of the memory limit that request bodies may
+// occupy together.
+const bodyMemoryFraction = 0.25
 
 // hostCount returns the number of hosts in the directory, this one included.
 func (h *Host) hostCount() int {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/gateway"
 	"github.com/acacialink/acacialink/internal/suspectapi"
 )
 
@@ -22,6 +23,13 @@
 	}
 }
 
+// newRetryBudget returns this host's part of the budget of retries that all hosts share.
+func (h *Host) newRetryBudget() *gateway.RetryBudget {
+	s := h.opts.Settings
+	slack := gateway.NewRetrySlack(h.startedAt, s.RetrySlack, s.RetryWindow, s.FirstStart)
+	return gateway.NewRetryBudget(h.startedAt, s.RetryRatio*gateway.RetryBudgetShare, s.RetryWindow, func() float64 { return slack.At(time.Now(), h.hostCount()) })
+}
+
 // newServer returns an HTTP server with the host's limits. Its error log goes to the
 // debug level.
 func (h *Host) newServer(handler http.Handler) *http.Server {
