host, endpoint: nothing is sent to an endpoint that states in an answer that it leaves

Cause: no code read the header; hosts followed the registry only, which says it later, or not at all for replicas that never report it.

A later incarnation is taken. Malformed values are ignored and counted.

--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -22,8 +22,8 @@
 	mu        sync.RWMutex
 	byService map[string][]*Endpoint
 	byID      map[string]*Endpoint
-	// drained maps each incarnation that has been draining to the time at which
-	// that was last reported. versions is the latest known revision of each ID.
+	// drained maps each incarnation that has been draining, or has stated that it leaves,
+	// to the time at which it was last in the registry. versions is the latest known revision of each ID.
 	drained  map[Key]time.Time
 	versions map[string]entryVersion
 	// missing holds the IDs of endpoints whose entries went missing in an
@@ -50,6 +50,10 @@
 // duration of any drain and any read.
 const tombstoneTTL = time.Minute
 
+// drainedTTL is how long an incarnation that has been draining is remembered after it was
+// last in the registry. Its entry may stand for long if it was mistaken.
+const drainedTTL = 10 * time.Minute
+
 // NewSet returns an empty set.
 func NewSet(settlingDelay time.Duration) *Set {
 	return &Set{
@@ -138,6 +142,26 @@
 	return change
 }
 
+// Leave removes an incarnation that states itself that it leaves, whatever the registry
+// says of it.
+func (s *Set) Leave(now time.Time, key Key) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var change Change
+	s.drained[key] = now
+	old := s.byID[key.ID]
+	if old == nil || old.Key() != key {
+		return change
+	}
+	left := *old
+	left.Draining = true
+	delete(s.byID, key.ID)
+	delete(s.missing, key.ID)
+	change.Removed = append(change.Removed, &left)
+	s.rebuild(now)
+	return change
+}
+
 // Remove applies the deletion of an ID's entry at a revision.
 func (s *Set) Remove(now time.Time, id string, revision int64) Change {
 	s.mu.Lock()
@@ -162,10 +186,8 @@
 	s.versions[e.ID] = entryVersion{e.Revision, now}
 	delete(s.missing, e.ID)
 	old := s.byID[e.ID]
-	if e.Draining {
+	if e.Draining || !s.drained[e.Key()].IsZero() {
 		s.drained[e.Key()] = now
-	}
-	if !s.drained[e.Key()].IsZero() {
 		if old != nil {
 			delete(s.byID, e.ID)
 			change.Removed = append(change.Removed, e)
@@ -208,7 +230,7 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
 	for key, at := range s.drained {
-		if now.Sub(at) > tombstoneTTL {
+		if now.Sub(at) > drainedTTL {
 			delete(s.drained, key)
 		}
 	}
--- a/internal/endpoint/set_test.go
+++ b/internal/endpoint/set_test.go
@@ -152,3 +152,26 @@
 	s.Put(start, newEngineAt("a", 7))
 	is.Equal(endpointIDs(s), "a")
 }
+
+// An incarnation that states that it leaves is gone at once, and stays so while its entry
+// stands. Another incarnation under its ID is not meant.
+func TestLeaveRemovesIncarnationWhateverTheRegistrySays(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settlingDelay)
+	s.Replace(start, 0, []*Endpoint{newEngine("a"), newEngine("b")})
+	c := s.Leave(start, Key{ID: "a"})
+	is.Equal(len(c.Removed), 1)
+	is.True(c.Removed[0].Draining)
+	is.Equal(endpointIDs(s), "b")
+	is.Equal(len(s.Leave(start, Key{ID: "a"}).Removed), 0) // told again
+	for age := time.Duration(0); age < time.Hour; age += time.Minute {
+		s.Replace(start.Add(age), 0, []*Endpoint{newEngine("a"), newEngine("b")})
+		is.Equal(endpointIDs(s), "b")
+	}
+	returned := newEngine("a")
+	returned.StartedAtMS = 5
+	s.Put(start.Add(time.Hour), returned)
+	is.Equal(endpointIDs(s), "ab")
+	is.Equal(len(s.Leave(start.Add(time.Hour), Key{ID: "a"}).Removed), 0) // a late answer of the one before
+	is.Equal(endpointIDs(s), "ab")
+}
--- a/internal/host/drain_test.go
+++ b/internal/host/drain_test.go
@@ -75,6 +75,11 @@
 
 	mu  sync.Mutex
 	ran map[string]time.Time
+	// ranAt holds the endpoint of each request. leaving is the endpoint that states that it
+	// leaves; empty for none.
+	ranAt   map[string]string
+	leaving string
+	stated  func(e *endpoint.Endpoint, s endpoint.Statement)
 }
 
 type callIngress struct{}
@@ -86,7 +91,7 @@
 func (callIngress) SetRequestID(http.Header, *gateway.Call) {}
 
 func newStoppingHost(grace time.Duration) *stoppingHost {
-	s := &stoppingHost{listener: newPipeListener(), ran: make(map[string]time.Time)}
+	s := &stoppingHost{listener: newPipeListener(), ran: make(map[string]time.Time), ranAt: make(map[string]string)}
 	s.Host = New(Options{
 		Settings: Settings{Name: "h", GracePeriod: grace},
 		Ports:    Ports{Connections: noConnections{}, Ingress: callIngress{}, Sender: s},
@@ -113,9 +118,15 @@
 	return s
 }
 
-func (s *stoppingHost) Send(ctx context.Context, call *gateway.Call, _ *gateway.Dispatch) (*gateway.Reply, error) {
+// OnStatement implements StatementSource.
+func (s *stoppingHost) OnStatement(stated func(e *endpoint.Endpoint, s endpoint.Statement)) {
+	s.stated = stated
+}
+
+func (s *stoppingHost) Send(ctx context.Context, call *gateway.Call, d *gateway.Dispatch) (*gateway.Reply, error) {
 	s.mu.Lock()
-	s.ran[call.ID] = time.Now()
+	s.ran[call.ID], s.ranAt[call.ID] = time.Now(), d.Endpoint.ID
+	leaving := s.leaving == d.Endpoint.ID
 	s.mu.Unlock()
 	work := 60 * time.Millisecond
 	switch {
@@ -126,6 +137,7 @@
 	}
 	select {
 	case <-time.After(work):
+		s.stated(d.Endpoint, endpoint.Statement{Leaving: leaving})
 		return &gateway.Reply{Status: http.StatusOK, Header: http.Header{}, Length: 2, Body: io.NopCloser(strings.NewReader("ok")), Authentic: true}, nil
 	case <-ctx.Done():
 		return nil, &outbound.Failure{Sent: true, Cause: ctx.Err()}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -126,7 +126,7 @@
 	h.endpointPoller = newPoller("store: endpoints", s.EndpointDrainBound, h.registry.age, h.listEndpoints, h.endpoints.RegistryFailed)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
 	h.suspects = suspect.NewLedger(h.startedAt, h.incarnation, suspect.NewMetrics(opts.Registry), opts.Log)
-	h.statements = opts.Registry.NewLabelledCounter("endpoint_statements", 4)
+	h.statements = opts.Registry.NewLabelledCounter("endpoint_statements", 5)
 	if source, ok := opts.Ports.Sender.(StatementSource); ok {
 		source.OnStatement(h.endpointStated)
 	}
--- a/internal/host/rates.go
+++ b/internal/host/rates.go
@@ -8,27 +8,19 @@
 	"github.com/acacialink/acacialink/internal/peer"
 )
 
-// StatementSource is a sender that reads what endpoints state about themselves in their
-// answers.
-type StatementSource interface {
-	// OnStatement sets what is called with the rate that each answer states, 0 for none,
-	// or an error if the statement makes no sense.
-	OnStatement(stated func(e *endpoint.Endpoint, perSecond float64, err error))
-}
-
-// endpointStated records what an endpoint stated in an answer. The other hosts are told of
-// a change at once.
-func (h *Host) endpointStated(e *endpoint.Endpoint, perSecond float64, err error) {
-	if err != nil {
+// rateStated records the rate that an endpoint stated. The other hosts are told of a change
+// at once.
+func (h *Host) rateStated(e *endpoint.Endpoint, s endpoint.Statement) {
+	if s.RateErr != nil {
 		h.statements.Add("invalid", 1)
-		h.opts.Log.Debug("endpoint stated an invalid rate", observe.FieldEndpoint, e.ID, observe.FieldError, err)
+		h.opts.Log.Debug("endpoint stated an invalid rate", observe.FieldEndpoint, e.ID, observe.FieldError, s.RateErr)
 		return
 	}
-	if !h.tracker.Stated(time.Now(), e, perSecond) {
+	if !h.tracker.Stated(time.Now(), e, s.PerSecond) {
 		return
 	}
 	h.statements.Add("changed", 1)
-	h.opts.Log.Info("endpoint stated its rate", observe.FieldEndpoint, e.ID, "service", e.Service, "per_second", perSecond)
+	h.opts.Log.Info("endpoint stated its rate", observe.FieldEndpoint, e.ID, "service", e.Service, "per_second", s.PerSecond)
 	h.group.TriggerExchange()
 }
 
--- a/internal/host/rates_test.go
+++ b/internal/host/rates_test.go
@@ -39,13 +39,13 @@
 // ratedSender is the Sender of one host, which reads what engines state.
 type ratedSender struct {
 	*statedRates
-	stated func(e *endpoint.Endpoint, perSecond float64, err error)
+	stated func(e *endpoint.Endpoint, s endpoint.Statement)
 	// told is when this host passed on an answer of each engine that stated a rate.
 	told map[string]time.Time
 }
 
 // OnStatement implements StatementSource.
-func (s *ratedSender) OnStatement(stated func(e *endpoint.Endpoint, perSecond float64, err error)) {
+func (s *ratedSender) OnStatement(stated func(e *endpoint.Endpoint, s endpoint.Statement)) {
 	s.stated = stated
 }
 
@@ -69,7 +69,7 @@
 		}
 	}
 	s.rateMu.Unlock()
-	s.stated(e, rate, nil)
+	s.stated(e, endpoint.Statement{PerSecond: rate})
 }
 
 func (s *ratedSender) Send(ctx context.Context, c *gateway.Call, d *gateway.Dispatch) (*gateway.Reply, error) {
