backing: a test of answers that end inside their head

The other entrance's readers (services, load reports, generations, KV caches), each head cut from 0 to its end, by close and by reset: 12 combinations, none taken as whole. It passes on the code before; nothing was changed. serveCut takes the whole text; the bodies' test cuts as before.

--- a/internal/backing/truncation_test.go
+++ b/internal/backing/truncation_test.go
@@ -26,9 +26,11 @@
 	"connection": func(body string) (string, string) { return "Connection: close\r\n", body },
 }
 
+func responseHead(header string) string { return "HTTP/1.1 200 OK\r\n" + header + "\r\n" }
+
 // serveCut answers one request on each connection with the first bytes of a response,
 // and ends the connection as end says. It returns the base URL.
-func serveCut(t *testing.T, config *tls.Config, header, wire string, end func(net.Conn)) string {
+func serveCut(t *testing.T, config *tls.Config, text string, end func(net.Conn)) string {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +52,7 @@
 				conn = tls.Server(raw, config)
 			}
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\n"+wire)
+				_, _ = io.WriteString(conn, text)
 			}
 			end(conn)
 		}
@@ -105,7 +107,7 @@
 				header, wire := frame(reader.body)
 				for n := range len(wire) + 1 {
 					for _, end := range []func(net.Conn){closeConn, resetConn} {
-						text, err := reader.read(t.Context(), serveCut(t, nil, header, wire[:n], end))
+						text, err := reader.read(t.Context(), serveCut(t, nil, responseHead(header)+wire[:n], end))
 						closed := reader.closed && framing == "connection" && n > 0
 						if err == nil && text != reader.body && !closed {
 							t.Errorf("%q is taken as whole after %d bytes", text, n)
@@ -117,6 +119,25 @@
 	}
 }
 
+// Guards against answers that end inside their head and are taken for whole ones.
+func TestCutHeadIsNotTakenAsAnswer(t *testing.T) {
+	for name, reader := range readers {
+		for framing, frame := range framings {
+			t.Run(name+" "+framing, func(t *testing.T) {
+				header, _ := frame(reader.body)
+				head := responseHead(header)
+				for n := range len(head) + 1 {
+					for _, end := range []func(net.Conn){closeConn, resetConn} {
+						if text, err := reader.read(t.Context(), serveCut(t, nil, head[:n], end)); err == nil {
+							t.Errorf("%q is taken as whole after %d bytes of the head", text, n)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 func TestEncryptedAnswerWithoutCloseNotifyIsNotTakenAsWhole(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewTLSServer(nil)
@@ -124,7 +145,7 @@
 	transport := backing.NewTransport()
 	transport.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
 	call := func(end func(net.Conn)) error {
-		base := serveCut(t, server.TLS, "Connection: close\r\n", "half an answer", end)
+		base := serveCut(t, server.TLS, responseHead("Connection: close\r\n")+"half an answer", end)
 		_, err := backing.NewHTTPService(base, &http.Client{Transport: transport}).Call(t.Context(), paymentRequest("1"))
 		return err
 	}
