explain: the timeline tells of endpoints that state that they leave, and of the end of a stop

What decided about a request in a stop was missing from its timeline. TestWriteTimelineTellsOfStopsAndLeavingEndpoints failed before (2 of 3 lines are missing) and passes. The gateway is unchanged.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,8 +40,8 @@
 // stateChanges are the messages that report a change of a host's cached state or of
 // the host itself.
 var stateChanges = []string{
-	"configuration in force", "endpoint added", "endpoint leaves", "endpoint changed its stage", "stage ordered",
-	"dependency lost", "dependency regained", "peer lost", "peer regained", "peer left", "draining", "drained", "start", "stop",
+	"configuration in force", "endpoint added", "endpoint leaves", "endpoint stated that it leaves", "endpoint changed its stage", "stage ordered",
+	"dependency lost", "dependency regained", "peer lost", "peer regained", "peer left", "draining", "drained", "closing connections", "start", "stop",
 	observe.MessageLinesDropped, "engine crashed under requests",
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -73,3 +73,20 @@
      +1.000s h1: segment cleared crashes=3 segment=5c service=llm
 `)
 }
+
+// A request that a stopping host interrupted, whose endpoint said that it leaves, is explained
+// by both.
+func TestWriteTimelineTellsOfStopsAndLeavingEndpoints(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(WriteTimeline(strings.NewReader(`
+{"time":"2026-01-01T00:00:01Z","msg":"draining","process":"h1","end_ms":7200}
+{"time":"2026-01-01T00:00:01.5Z","msg":"request sent again","process":"h1","request_id":"7","endpoint":"i-1"}
+{"time":"2026-01-01T00:00:02Z","msg":"endpoint stated that it leaves","process":"h1","endpoint":"i-1"}
+{"time":"2026-01-01T00:00:08.2Z","msg":"request ended","process":"h1","request_id":"7","endpoint":"i-1","code":"host_ending"}
+{"time":"2026-01-01T00:00:08.3Z","msg":"closing connections","process":"h1","requests":0}
+`), "7", &out))
+	for _, line := range []string{"draining end_ms=7200", "endpoint stated that it leaves endpoint=i-1", "closing connections requests=0"} {
+		is.True(strings.Contains(out.String(), line))
+	}
+}
