httpdrain: the test of a closed connection takes a reset as its end

Trace: the server closes a connection of which it has read one byte of the second request in the background; the kernel resets it when the rest is unread. How the connection ends is not what the test guards: no request is begun.

--- a/internal/httpdrain/shutdown_test.go
+++ b/internal/httpdrain/shutdown_test.go
@@ -89,7 +89,7 @@
 	is.NoErr(err)
 	state.Begin(termination.NewPlan(time.Now(), time.Minute))
 	is.NoErr(tracker.ShutDown(context.Background(), server, state))
-	_, err = io.Copy(io.Discard, c)
-	is.NoErr(err)
+	n, _ := io.Copy(io.Discard, c) // ends with the connection, by a close or a reset
+	is.Equal(n, int64(0))
 	is.Equal(began.Load(), int64(1))
 }
