gateway, host: a request that ends without a line or a whole answer is visible

The logs could not tell the hypotheses apart: a panic of a handler went to the debug level, a cut stream's line had neither how long its engine was silent, nor whether the host ran late, nor why it was not resumed, and nothing showed that lines were dropped.

Change: panics of handlers are logged with the request's ID and stack, and counted; net/http's errors are warnings; request ended has end_reason, after_event, silent_ms and delay_ms; stop has the account of the process (begun = ended + panicked, cut_off, lines_dropped). No decision changes.

--- a/cmd/acacialink/gateway.go
+++ b/cmd/acacialink/gateway.go
@@ -44,8 +44,10 @@
 	log := observe.NewLogger(out, slog.LevelInfo, id)
 	go reloadOnHangup(hangups, path, log)
 	log.Info("start", "callers", s.Host.CallerAddress, "ready", s.Host.OperatorAddress, "peers", s.Host.PeerAddress, "store", s.StoreAddress, "first_start", s.Host.FirstStart)
-	err = host.New(host.Options{Settings: s.Host, Ports: ports(s), Registry: observe.NewRegistry(id), Log: log}).Run(stop)
-	log.Info("stop", observe.FieldError, err)
+	h := host.New(host.Options{Settings: s.Host, Ports: ports(s), Registry: observe.NewRegistry(id), Log: log})
+	err = h.Run(stop)
+	requests := h.Account()
+	log.Info("stop", "begun", requests.Begun, "ended", requests.Ended, "cut_off", requests.CutOff, "panicked", requests.Panicked, "lines_dropped", out.Dropped(), observe.FieldError, err)
 	return err
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -76,6 +76,9 @@
 		return
 	}
 	if req.headerWritten || errors.Is(err, errCallerGone) {
+		if !errors.Is(err, errCallerGone) {
+			req.gateway.account.cutOff.Add(1)
+		}
 		req.abort()
 	}
 	failure := verdict.As(err)
@@ -128,8 +131,12 @@
 	}
 	attrs = append(attrs, slog.Duration(observe.FieldDuration, time.Since(req.start)), slog.Int("sends", req.sends))
 	attrs = append(attrs, req.logAttrs...)
+	if req.endReason != "" {
+		attrs = append(attrs, slog.String("end_reason", req.endReason))
+	}
 	if err != nil {
 		attrs = append(attrs, slog.Any(observe.FieldError, err))
 	}
 	req.gateway.opts.Log.LogAttrs(context.Background(), level, "request ended", attrs...)
+	req.gateway.account.ended.Add(1)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,8 +22,9 @@
 // Gateway is the HTTP handler for callers' requests. It is safe for concurrent
 // use.
 type Gateway struct {
-	opts   Options
-	active atomic.Int64
+	opts    Options
+	active  atomic.Int64
+	account account
 	// probes joins the probes of one engine.
 	probes singleflight.Group
 	// darkProbes joins those of engines that fell silent.
@@ -89,15 +90,19 @@
 	predictedLate bool
 	// firstLatency is the time to the first event or to a buffered response.
 	firstLatency time.Duration
+	// endReason is why the request was not sent again after its last attempt failed.
+	endReason string
 	// logAttrs are the attributes of the current attempt for the log.
 	logAttrs []slog.Attr
 }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.account.begun.Add(1)
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	req := &request{gateway: g, writer: w, knowsChunks: r.ProtoAtLeast(1, 1), start: time.Now().Add(-g.opts.SchedulingDelay()), excluded: make(map[string]bool)}
+	defer req.recordPanic()
 	err := req.serve(r)
 	req.finish(err)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -26,6 +26,8 @@
 		if target == nil {
 			if lastErr == nil {
 				lastErr = req.noPlace()
+			} else {
+				req.endReason = codeNoEndpoint
 			}
 			return req.finalError(lastErr)
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,13 +59,23 @@
 // mayRetry reports whether the request may be sent again after err. It consumes
 // retry budget.
 func (req *request) mayRetry(err error) bool {
-	if req.sends >= maxSends || req.remaining() <= 0 || req.mayBeDeadly {
-		return false
+	switch {
+	case req.sends >= maxSends:
+		req.endReason = "sends"
+	case req.remaining() <= 0:
+		req.endReason = "time"
+	case req.mayBeDeadly:
+		req.endReason = "crashes"
+	case verdict.Of(err) != verdict.NotRun && !req.repeatable():
+		req.endReason = "not_repeatable"
+	case verdict.Of(err) != verdict.NotRun && req.possibleRuns >= req.route.Attempts:
+		req.endReason = "attempts"
+	case !req.reserveBudget(false):
+		req.endReason = "budget"
+	default:
+		return true
 	}
-	if verdict.Of(err) != verdict.NotRun && (!req.repeatable() || req.possibleRuns >= req.route.Attempts) {
-		return false
-	}
-	return req.reserveBudget(false)
+	return false
 }
 
 // reserveBudget reserves the retry budget of the next call to an endpoint, or with
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 		}
 		if err != nil {
 			if lastErr != nil {
+				req.endReason = verdict.As(err).Code
 				err = lastErr
 			}
 			return req.finalError(err)
@@ -51,11 +52,12 @@
 		if err == nil {
 			return nil
 		}
+		out.logFailure()
 		if ctx.Err() != nil || out.failed || verdict.As(err).Code == codeSegmentHeld || !req.mayRetry(err) {
 			return req.finalError(err)
 		}
 		lastErr = err
-		req.gateway.opts.Log.LogAttrs(ctx, slog.LevelInfo, "request sent again", append([]slog.Attr{slog.String(observe.FieldRequestID, req.call.ID), slog.Any(observe.FieldError, err), slog.String("after_event", out.lastID)}, req.logAttrs...)...)
+		req.gateway.opts.Log.LogAttrs(ctx, slog.LevelInfo, "request sent again", append([]slog.Attr{slog.String(observe.FieldRequestID, req.call.ID), slog.Any(observe.FieldError, err)}, req.logAttrs...)...)
 	}
 }
 
@@ -332,6 +334,7 @@
 	}
 	out.lasted = func() { req.recordAnswered(ctx, dispatch.Endpoint, job, out.begun, false) }
 	err := req.attemptGeneration(ctx, dispatch, flight, out, predicted)
+	out.silent = time.Since(out.lastAt)
 	switch {
 	case err == nil:
 		if out.lasted != nil || out.closed {
@@ -436,6 +439,8 @@
 	begun time.Time
 	// lastAt is when the last bytes of the current attempt came, or when it began.
 	lastAt time.Time
+	// silent is the time from lastAt to the end of the last attempt that was sent.
+	silent time.Duration
 	// began is called when the current attempt's answer begins.
 	began func()
 	// lasted is called once the current attempt's answer has lasted for a while; nil
@@ -447,6 +452,13 @@
 	stall *stallWatch
 }
 
+// logFailure adds to the request's log attributes how far the stream was when an attempt
+// failed.
+func (w *eventWriter) logFailure() {
+	w.req.logAttrs = append(w.req.logAttrs, slog.String("after_event", w.lastID), slog.Duration("silent_ms", w.silent),
+		slog.Duration("delay_ms", w.req.gateway.opts.SchedulingDelay()))
+}
+
 // lastingAnswer is how long an answer lasts before its engine counts as having answered
 // the request so far.
 const lastingAnswer = 250 * time.Millisecond
--- a/internal/gateway/termination.go
+++ b/internal/gateway/termination.go
@@ -68,6 +68,7 @@
 		return nil
 	}
 	if last != nil {
+		req.endReason = codeHostEnding + " " + string(refusal)
 		return last
 	}
 	return errHostEnding(refusal)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -179,6 +179,9 @@
 	serviceMemoryFraction = 0.25
 )
 
+// Account returns the account of all requests so far.
+func (h *Host) Account() gateway.Account { return h.gateway.Account() }
+
 // hostCount returns the number of hosts in the directory, this one included.
 func (h *Host) hostCount() int {
 	return h.group.State().Hosts
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -30,12 +30,12 @@
 	return gateway.NewRetryBudget(h.startedAt, s.RetryRatio*gateway.RetryBudgetShare, s.RetryWindow, func() float64 { return slack.At(time.Now(), h.hostCount()) })
 }
 
-// newServer returns an HTTP server with the host's limits. Its error log goes to the
-// debug level.
+// newServer returns an HTTP server with the host's limits. It logs its errors, such as panics
+// of handlers, as warnings.
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(h.opts.Log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(h.opts.Log.Handler(), slog.LevelWarn),
 	}
 }
 
