gateway: a stream leaves a silent engine only for one that may take it

What callers saw: resumable streams broke off around a SIGTERM although their engine was sound.

Cause: the stall watch canceled an attempt after a second without an event and only then asked whether the stream could go on elsewhere. The plan of a stop refuses a resumption whose usual time passes the end; an engine may not be left, be far from ready, or the segment may be held. A canceled attempt cannot be had back, so the stream broke off.

Change: resumption decides before the attempt is canceled, from what does not change while it runs: the stop's plan, the segments, a placement whose first event is due within the time that the engine was silent, a send that is left, the retry budget. Otherwise the engine is kept and asked about again each 200 ms. The step that was granted is not refused later.

Why this works: nothing that is decided after the cancellation can refuse what was decided before it, but another engine's own rejection, after which the others are tried as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	predictedLate bool
 	// firstLatency is the time to the first event or to a buffered response.
 	firstLatency time.Duration
+	// resumes is set once the stream has left an engine because it could go on at another.
+	resumes bool
 	// endReason is why the request was not sent again after its last attempt failed.
 	endReason string
 	// logAttrs are the attributes of the current attempt for the log.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -20,7 +20,7 @@
 	timer *time.Timer
 	// stopped is set once the attempt or the watch has ended.
 	stopped bool
-	// reserved is set once retry budget was reserved to resume the stream.
+	// reserved is set once the resumption of the stream was reserved.
 	reserved bool
 }
 
@@ -29,8 +29,8 @@
 const stallRecheckInterval = 200 * time.Millisecond
 
 // newStallWatch starts a watch. When the attempt has made no progress for limit, and
-// reserve has reserved the retry budget to resume the stream elsewhere, end is called
-// once. Without budget the attempt continues, since it may still recover.
+// reserve has reserved what it takes to resume the stream elsewhere, end is called
+// once. Otherwise the attempt continues, since it may still recover.
 func newStallWatch(limit time.Duration, reserve func() bool, end func()) *stallWatch {
 	w := &stallWatch{limit: limit}
 	w.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -333,7 +333,7 @@
 		req.gateway.opts.Suspects.Began(out.begun, dispatch.Endpoint.Key(), req.service.Name, job.SharedSegments())
 	}
 	out.lasted = func() { req.recordAnswered(ctx, dispatch.Endpoint, job, out.begun, false) }
-	err := req.attemptGeneration(ctx, dispatch, flight, out, predicted)
+	err := req.attemptGeneration(ctx, dispatch, flight, job, out, predicted)
 	out.silent = time.Since(out.lastAt)
 	switch {
 	case err == nil:
@@ -357,17 +357,17 @@
 }
 
 // attemptGeneration is runGeneration without what follows the loss of the engine.
-func (req *request) attemptGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, out *eventWriter, predicted time.Duration) error {
+func (req *request) attemptGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, job *placement.Job, out *eventWriter, predicted time.Duration) error {
 	defer dispatch.Answer.Release()
 	dispatch.LastEventID = out.lastID
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if limit := req.stallLimit(predicted); limit > 0 {
-		reserve := func() bool { return req.gateway.opts.Budget.TryRetry(time.Now(), req.service.Name) }
-		out.stall = newStallWatch(limit, reserve, func() { cancel(errStalled) })
+		out.stall = newStallWatch(limit, req.newResumption(dispatch, job, limit).reserve, func() { cancel(errStalled) })
 		defer func() {
 			if out.stall.stop() {
 				req.budget.charged++
+				req.resumes = true
 			}
 			out.stall = nil
 		}()
--- a/internal/gateway/termination.go
+++ b/internal/gateway/termination.go
@@ -57,10 +57,11 @@
 }
 
 // mayGoOn is mayBegin before a further step of a request in progress. It returns last, the
-// error of the step before, if there is one.
+// error of the step before, if there is one. A stream that has left an engine for another
+// step is not refused that step.
 func (req *request) mayGoOn(last error) error {
 	state := req.gateway.opts.Termination
-	if !state.Stopping() {
+	if !state.Stopping() || req.resumes {
 		return nil
 	}
 	refusal := state.RefusalOfStep(time.Now(), req.work())
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -112,6 +112,11 @@
 	return Verdict{}, false
 }
 
+// Holds reports whether a request with the segments is held back, and counts none.
+func (l *Ledger) Holds(service string, hashes []uint64) bool {
+	return slices.ContainsFunc(hashes, func(hash uint64) bool { return l.isHeld(Segment{service, hash}) })
+}
+
 // beginTrial reports whether a request with a segment that is held back may be tried.
 func (l *Ledger) beginTrial(now time.Time, v Verdict) bool {
 	if v.Ordered || now.Before(v.Until()) {
