gateway: a host's own silence is no engine's

What callers saw: several resumable streams of one host broke off or moved at the same moment, at different engines, when the host had not run for a second.

Cause: the stall watch's timer and the events in the socket are due at the same time when the process runs again. The timer's function was started and waited for the lock while the events were relayed; it then ended an attempt that had just made progress: restarting a timer does not take back a function that has been started. Where the timer came first, the events had not been read.

Change: the watch knows when it is due. An expiry before that, or while events are written, is one that was overtaken. One that is late by 20 ms or more waits for as long again, once in each silence, at most the limit.

TestSilenceOfOwnHostIsNoStall fails without each of the three conditions; each seen.

--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against streams that are taken for stalled because their own host did not run.
+func TestSilenceOfOwnHostIsNoStall(t *testing.T) {
+	is := is.New(t)
+	ended := 0
+	reserve, end := func() bool { return true }, func() { ended++ }
+	w := newStallWatch(time.Hour, reserve, end)
+	defer w.stop()
+	due := w.due
+	w.expire(due.Add(300*time.Millisecond), reserve, end) // the host woke up late
+	is.Equal(ended, 0)
+	is.Equal(w.due, due.Add(600*time.Millisecond))
+	w.pause() // what had come is read
+	w.expire(w.due, reserve, end)
+	is.Equal(ended, 0)
+	w.progress()
+	w.expire(w.due.Add(-time.Minute), reserve, end) // the timer ran out before it was restarted
+	is.Equal(ended, 0)
+	due = w.due
+	w.expire(due.Add(time.Second), reserve, end)
+	is.Equal(ended, 0)
+	w.expire(w.due.Add(time.Second), reserve, end) // silent since
+	is.Equal(ended, 1)
+}
+
 // slowWriter is a caller that takes long to read each write.
 type slowWriter struct {
 	http.ResponseWriter
