httpdrain, host, node: a stop ends once callers have received the answers

What callers saw: streams that ended with a drain had no whole answer, though by the host's account all were answered.

Cause: an answer counted as sent once it was in the socket. A drain ends within 20 ms of the last answer, the connections are closed 10 ms later and the process has exited 5 ms after that. What the caller's kernel has not acknowledged by then is lost where the address goes with the process, and where unread bytes make the close a reset. The class: done means handed to the next layer, not received.

Not shown: that the users' streams were lost this way; on loopback the kernel delivers after the exit, and the soak sees nothing of it.

Change: from the stop on, closing a connection waits until all is acknowledged (TCP_INFO), at most to the plan's close; there the rest is counted as cut. Callers that have closed, or acknowledge nothing for 5 s, are not waited for; connections that the handler took over are closed at once. Both entrances and the listener of operators.

Why this works: the drain's wait counts the connection until it is closed, and the plan already bounds that wait.

--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -24,13 +24,13 @@
 // finish would only refuse what still comes, and a closed listener sends callers on sooner.
 // Readiness checks fail from the start, and each response asks the caller to close the
 // connection.
-func (h *Host) drain() termination.Plan {
+func (h *Host) drain(open *httpdrain.Tracker) termination.Plan {
 	told := time.Now()
 	late := h.delays.Current()
-	h.beginStop(told.Add(-late))
+	h.beginStop(open, told.Add(-late))
 	// By then the delay with which the stop itself was learned of is sampled.
 	time.Sleep(delaySampleInterval)
-	plan := h.beginStop(told.Add(-max(late, h.delays.Current())))
+	plan := h.beginStop(open, told.Add(-max(late, h.delays.Current())))
 	h.opts.Log.Info("draining", "requests", h.gateway.Active(), "end_ms", plan.End.Sub(plan.Began))
 	for now := time.Now(); now.Before(plan.End); now = time.Now() {
 		if now.Sub(told) >= minDrainDuration && h.gateway.Active() == 0 {
@@ -43,9 +43,10 @@
 }
 
 // beginStop starts the stop that was ordered at the given time, and returns its plan.
-func (h *Host) beginStop(ordered time.Time) termination.Plan {
+func (h *Host) beginStop(open *httpdrain.Tracker, ordered time.Time) termination.Plan {
 	plan := termination.NewPlan(ordered, h.opts.Settings.GracePeriod)
 	h.termination.Begin(plan)
+	open.DeliverUntil(plan.Close)
 	return plan
 }
 
--- a/internal/host/drain_test.go
+++ b/internal/host/drain_test.go
@@ -158,7 +158,7 @@
 func (*stoppingHost) Probe(context.Context, *endpoint.Endpoint) error { return nil }
 
 // stop stops the host as Run does and waits until its connections are closed.
-func (s *stoppingHost) stop() { _ = s.shutDown(s.server, s.listener, &s.open, s.drain()) }
+func (s *stoppingHost) stop() { _ = s.shutDown(s.server, s.listener, &s.open, s.drain(&s.open)) }
 
 // order is a request of a caller and what came of it.
 type order struct {
@@ -596,7 +596,7 @@
 		s := newStoppingHost(2 * time.Second)
 		told := time.Now().Add(-late)
 		time.AfterFunc(delaySampleInterval/2, func() { s.delays.record(late) })
-		plan := s.drain()
+		plan := s.drain(&s.open)
 		is.Equal(plan.Began, told)
 		is.True(!plan.Exit.After(told.Add(2 * time.Second)))
 		is.NoErr(s.shutDown(s.server, s.listener, &s.open, plan))
@@ -616,7 +616,7 @@
 				s.delays.record(0)
 			}
 		})
-		plan := s.drain()
+		plan := s.drain(&s.open)
 		is.Equal(plan.Began, told)
 		is.NoErr(s.shutDown(s.server, s.listener, &s.open, plan))
 	})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -240,7 +240,7 @@
 		return err
 	case <-stop.Done():
 	}
-	plan := h.drain()
+	plan := h.drain(&open)
 	err = h.shutDown(server, callers, &open, plan)
 	cancel()
 	awaitExit(wait, plan.Exit)
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -68,6 +68,8 @@
 	// has been read since the last one. answered is set once its handler has returned,
 	// though the server may still read the body. ended is set once its reading is ended.
 	active, arriving, answered, ended atomic.Bool
+	// closing is set at the first Close.
+	closing atomic.Bool
 	// progress is when the handler returned or something was read since, in nanoseconds
 	// from opened: the time of day may jump.
 	progress atomic.Int64
@@ -113,8 +115,12 @@
 	return max(0, n)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. During a stop, the first one waits for the delivery of what was
+// written; see Tracker.DeliverUntil. Another one meanwhile does not.
 func (c *conn) Close() error {
+	if until := c.tracker.deliverUntil.Load(); until != nil && c.closing.CompareAndSwap(false, true) {
+		c.awaitDelivery(*until)
+	}
 	c.tracker.remove(c)
 	return c.Conn.Close()
 }
--- a/internal/httpdrain/tracker.go
+++ b/internal/httpdrain/tracker.go
@@ -16,6 +16,8 @@
 type Tracker struct {
 	// accepting is the number of calls of Accept in progress.
 	accepting atomic.Int32
+	// deliverUntil is the time of DeliverUntil; nil before the stop.
+	deliverUntil atomic.Pointer[time.Time]
 
 	mu    sync.Mutex // guards conns
 	conns map[net.Conn]http.ConnState
--- a/internal/node/entryhttp.go
+++ b/internal/node/entryhttp.go
@@ -70,6 +70,7 @@
 	notice := e.settings.Timeouts.DrainNotice.Std()
 	plan := termination.NewDrain(time.Now(), notice+e.settings.Timeouts.Drain.Std())
 	e.termination.Begin(plan)
+	e.callerRequests.DeliverUntil(plan.Close)
 	e.members.AnnounceLeaving(time.Now())
 	e.log.Info("drain started")
 	backing.Pause(ctx, notice)
--- a/internal/node/operatorstop.go
+++ b/internal/node/operatorstop.go
@@ -46,6 +46,7 @@
 func (e *Entry) endOperators(ctx context.Context, server *http.Server) {
 	plan := termination.NewDrain(time.Now(), operatorDrainTimeout)
 	e.operatorTermination.Begin(plan)
+	e.operatorRequests.DeliverUntil(plan.Close)
 	e.endReads()
 	cut, err := e.operatorRequests.ShutDown(ctx, server, e.operatorListener, e.operatorTermination, plan)
 	e.log.Info("operators' requests ended", "cut", cut, "complete", err == nil && cut == 0)
