gateway: a request whose handler panics is answered

What callers would see: a closed connection without an answer, and a request that no line names; requests 0 and cut 0 at a stop.

Cause: nothing recovered a panic of a handler but net/http, which closes the connection. It is one of the two ways in which a request can end there without a line.

Change: the panic is logged as before, then the request ends like any other: 503 and not run if it was sent nowhere, 502 otherwise, and a stream that has begun breaks off. Account.Begun is Account.Ended now in each case.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -8,10 +8,11 @@
 	"sync/atomic"
 
 	"github.com/acacialink/acacialink/internal/observe"
+	"github.com/acacialink/acacialink/internal/verdict"
 )
 
-// Account counts requests from their begin to their end. Begun is Ended and Panicked
-// together, unless requests are in progress.
+// Account counts requests from their begin to their end. Begun is Ended unless requests are
+// in progress.
 type Account struct {
 	// Begun is the number of requests that reached the gateway.
 	Begun int64
@@ -20,7 +21,7 @@
 	// CutOff is the number of those that ended although the caller was there and had no
 	// whole response.
 	CutOff int64
-	// Panicked is the number of requests whose handler panicked.
+	// Panicked is the number of those that ended whose handler panicked.
 	Panicked int64
 }
 
@@ -35,22 +36,32 @@
 	return a
 }
 
-// recordPanic logs a panic of the request's handler, after which net/http closes the
-// connection. It must be deferred.
-func (req *request) recordPanic() {
+// codePanicked is the code of a request whose handler panicked.
+const codePanicked = "panicked"
+
+// endPanic ends a request whose handler panicked. One that was sent nowhere has not run. It
+// must be deferred.
+func (req *request) endPanic() {
 	cause := recover()
 	if cause == nil {
 		return
 	}
-	if cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares it by value too
-		req.gateway.account.panicked.Add(1)
-		req.gateway.opts.Metrics.Outcomes.Add("panicked", 1)
-		id := ""
-		if req.call != nil {
-			id = req.call.ID
-		}
-		req.gateway.opts.Log.LogAttrs(context.Background(), slog.LevelError, "handler panicked",
-			slog.String(observe.FieldRequestID, id), slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares it by value too
+		panic(cause)
+	}
+	req.gateway.account.panicked.Add(1)
+	id := ""
+	if req.call != nil {
+		id = req.call.ID
+	}
+	req.gateway.opts.Log.LogAttrs(context.Background(), slog.LevelError, "handler panicked",
+		slog.String(observe.FieldRequestID, id), slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+	if req.ended {
+		panic(http.ErrAbortHandler)
+	}
+	err := verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codePanicked, "the host failed")
+	if req.sends == 0 && req.prefills == 0 {
+		err = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codePanicked, "the host failed").After(unreadyRetryAfter)
 	}
-	panic(http.ErrAbortHandler)
+	req.finish(err)
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -139,4 +139,5 @@
 	}
 	req.gateway.opts.Log.LogAttrs(context.Background(), level, "request ended", attrs...)
 	req.gateway.account.ended.Add(1)
+	req.ended = true
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -47,6 +47,8 @@
 	ctx context.Context
 	// wrap wraps the writer of responses; nil for none.
 	wrap func(http.ResponseWriter) http.ResponseWriter
+	// aborted is called if the connection is aborted; nil for none.
+	aborted func()
 	// probe is the result of every probe.
 	probe error
 	// prefill handles every prefill.
@@ -177,9 +179,13 @@
 	w := httptest.NewRecorder()
 	func() {
 		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler { //nolint:errorlint // net/http compares it by value too
+			p := recover()
+			if p != nil && p != http.ErrAbortHandler { //nolint:errorlint // net/http compares it by value too
 				panic(p)
 			}
+			if p != nil && f.aborted != nil {
+				f.aborted()
+			}
 		}()
 		var writer http.ResponseWriter = w
 		if f.wrap != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,8 @@
 	firstLatency time.Duration
 	// resumes is set once the stream has left an engine because it could go on at another.
 	resumes bool
+	// ended is set once the end is logged.
+	ended bool
 	// endReason is why the request was not sent again after its last attempt failed.
 	endReason string
 	// logAttrs are the attributes of the current attempt for the log.
@@ -104,7 +106,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	req := &request{gateway: g, writer: w, knowsChunks: r.ProtoAtLeast(1, 1), start: time.Now().Add(-g.opts.SchedulingDelay()), excluded: make(map[string]bool)}
-	defer req.recordPanic()
+	defer req.endPanic()
 	err := req.serve(r)
 	req.finish(err)
 }
