node, sockopt: an agent ends once entry hosts have received its answers

What callers would see: an answer lost at the planned stop of an agent: a heartbeat that it has not read makes the close a reset, and what the entry host has not received is discarded.

Change: the agent's drain waits, within its time-out, until all peers that are there have acknowledged what was written to open connections. One function, sockopt.Undelivered, tells for hosts and agents. setUserTimeout takes any connection with a socket.

--- a/internal/httpdrain/delivery.go
+++ b/internal/httpdrain/delivery.go
@@ -7,18 +7,13 @@
 	"github.com/acacialink/acacialink/internal/sockopt"
 )
 
-const (
-	// deliveryPollInterval is the time between looks at what a caller has acknowledged.
-	deliveryPollInterval = 10 * time.Millisecond
-	// goneCallerTime is the time without any acknowledgement after which a caller is taken
-	// for gone.
-	goneCallerTime = 5 * time.Second
-)
+// deliveryPollInterval is the time between looks at what a caller has acknowledged.
+const deliveryPollInterval = 10 * time.Millisecond
 
 // DeliverUntil makes connections that are closed from now on stay open until the caller's
-// kernel has acknowledged all that was written to them, at most until the given time. What is
-// not acknowledged when the process ends may be lost: its address may go with it, and a
-// close with unread bytes discards what is still to be sent.
+// kernel has acknowledged all that was written to them, unless the caller is gone, at most
+// until the given time. What is not acknowledged when the process ends may be lost: its
+// address may go with it, and a close with unread bytes discards what is still to be sent.
 func (t *Tracker) DeliverUntil(at time.Time) { t.deliverUntil.Store(&at) }
 
 // tracks reports whether the connection is tracked.
@@ -36,11 +31,7 @@
 	if !ok || !c.tracker.tracks(c) {
 		return
 	}
-	for time.Now().Before(until) {
-		delivery, ok := sockopt.DeliveryOf(connection)
-		if !ok || !delivery.Pending || delivery.SinceAck >= goneCallerTime {
-			return
-		}
+	for time.Now().Before(until) && sockopt.Undelivered(connection) {
 		time.Sleep(deliveryPollInterval)
 	}
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -29,7 +29,7 @@
 	agent     *agent.Agent
 	server    *rpc.Server
 	registry  *observe.Registry
-	listener  net.Listener
+	listener  *deliveryListener
 	operators net.Listener
 	// answers bounds the answers of the endpoint, the store and other agents.
 	answers  *bodybudget.Shares
@@ -124,10 +124,11 @@
 }
 
 func (a *Agent) listen(ctx context.Context) error {
-	var err error
-	if a.listener, err = listen(ctx, a.settings.Listen); err != nil {
+	inner, err := listen(ctx, a.settings.Listen)
+	if err != nil {
 		return err
 	}
+	a.listener = newDeliveryListener(inner)
 	if a.operators, err = listen(ctx, a.settings.OperatorListen); err != nil {
 		_ = a.listener.Close()
 		return err
@@ -171,8 +172,8 @@
 	return group.Wait()
 }
 
-// drain refuses new work and waits until running work has completed or the drain
-// timeout has passed.
+// drain refuses new work and waits until running work has completed and entry hosts have
+// received its answers, or the drain timeout has passed.
 func (a *Agent) drain(ctx context.Context) {
 	a.draining.start()
 	a.log.Info("drain started", "endpoint", a.settings.Name)
@@ -180,5 +181,6 @@
 	ctx, cancel := context.WithTimeout(ctx, a.settings.Timeouts.Drain.Std())
 	defer cancel()
 	remaining := a.agent.Drain(ctx)
+	a.listener.await(ctx)
 	a.log.Info("drain finished", "endpoint", a.settings.Name, "requests_left", remaining, "duration_ms", time.Since(started).Milliseconds())
 }
--- a/internal/rpc/dialer.go
+++ b/internal/rpc/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
@@ -54,7 +55,7 @@
 // setUserTimeout makes the kernel close a TCP connection whose sent bytes stay
 // unacknowledged for Options.SilenceTimeout.
 func setUserTimeout(conn net.Conn, opts Options) {
-	tcpConn, ok := conn.(*net.TCPConn)
+	tcpConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return
 	}
