platform, host: a restoration of the store is visible

The logs told that the store was away, not that it came back as an older copy of itself, nor that what it says since is older than what a host has.

Change: the adapter decodes Store-Era from each answer, errors included; store restored and configuration in the store is older in the log, store_era in the metrics.

--- a/internal/backing/call_http.go
+++ b/internal/backing/call_http.go
@@ -108,10 +108,10 @@
 
 // Do sends one request and returns the response, whatever its status. The error
 // is ErrUnavailable if no byte was sent, and ErrUnknown if the response was lost.
-func (c Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (status int, respBody []byte, err error) {
+func (c Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (status int, respHeader http.Header, respBody []byte, err error) {
 	r, err := c.exchange(ctx, method, path, header, body)
 	r.Release()
-	return r.status, r.body, err
+	return r.status, r.header, r.body, err
 }
 
 // exchange is Do with the framing of the response. The response must be released.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -98,7 +98,7 @@
 	listedRevision atomic.Int64
 
 	mu sync.Mutex // guards the fields below
-	// undecodable holds the last revision of each entry that failed to decode, by
+	// undecodable holds the last revision of each entry that was skipped, by
 	// key.
 	undecodable map[string]backing.Revision
 	// leader is the peer that last reported to be the leader; empty if none.
@@ -122,6 +122,7 @@
 	h.catalog = catalog.NewCache(h.clock, s.KeyRevocationBound-freshMargin)
 	h.endpoints = endpoint.NewSet(s.ReregistrationTimeout)
 	h.registry = newRegistry(h.clock)
+	h.watchEra()
 	h.configPoller = newPoller("store: configuration", s.ConfigApplyBound, h.catalog.Age, h.readConfig, func() {})
 	h.endpointPoller = newPoller("store: endpoints", s.EndpointDrainBound, h.registry.age, h.listEndpoints, h.endpoints.RegistryFailed)
 	h.tracker = placement.NewTracker(placement.DefaultCosts())
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -45,6 +45,9 @@
 
 // applyConfig puts a configuration in force if it is newer than the current one.
 func (h *Host) applyConfig(kv backing.KeyValue) error {
+	if int64(kv.Revision) < h.catalog.Revision() && h.firstFailure(kv) {
+		h.opts.Log.Warn("configuration in the store is older", observe.FieldRevision, int64(kv.Revision), "revision_in_force", h.catalog.Revision())
+	}
 	if int64(kv.Revision) <= h.catalog.Revision() {
 		return nil
 	}
