backing, catalog, host, platform: revisions are ordered by the store's era first

What callers saw after the store had come back from an older copy: all keyed requests refused (stale_configuration) some 4 s later, and no configuration that was acknowledged since in force.

Cause: revisions were taken for a total order for ever. A restored store gives them out again: what was read before the restoration counted as newer than all that was read after it, was neither replaced nor confirmed, and the same number could stand for two things: for a watch, a condition of a write, a lease, a fencing token, a peer's confirmation. What was acknowledged was taken to stay: an older configuration from the copy would have replaced the one in force.

Change: backing.Revision has the era in its higher bits, so that each comparison is one of eras first; the adapter adds it to what it reads and takes it off what it sends. An answer of an older era than is known counts as lost, a listing of two eras as none; a watch from an older era is compacted, a revision of one is no key's, a lease of one has ended (EraLeases). A configuration of an older version than is known is not taken in a later era, nor confirmed; one that was taken from the copy is withdrawn once a peer tells of a newer (catalog_version in the messages between hosts; absent from older hosts, which changes nothing). A restoration counts as an outage of the registry: missing entries are kept until they can be back.

Our stand-in store can be restored.

Tests: with the era taken out of NewRevision, 4 of the 6 new tests of the adapter, 2 of the catalog, 2 of the host fail, and TestHostFollowsConfigurationOfRestoredStore waits without end; without the lease set, the dropping of late answers or the outage of the registry the test of each fails; all seen.

--- a/internal/backing/store.go
+++ b/internal/backing/store.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// Revision is the store's revision number. It increases with every change. Zero
-// means that a key is absent.
+// Revision orders the changes of the store, also across its restorations: it increases with
+// every change. Zero means that a key is absent. See NewRevision.
 type Revision int64
 
-// LeaseID identifies a lease of the store. Zero means no lease.
+// LeaseID identifies a lease of the store. Zero means no lease. It is one within an era of the
+// store; see EraLeases.
 type LeaseID int64
 
 // MaxValueBytes is the maximum size of a value in the store, in bytes.
--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -4,11 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/lease"
 )
 
 // Cache caches the newest known catalog and the time of its last confirmation.
-// It never reverts to an older revision. It is safe for concurrent use.
+// It never reverts to an older revision, nor to an older version that a store
+// has because it was restored from a copy. It is safe for concurrent use.
 type Cache struct {
 	clock lease.Clock
 	// maxAge is how long a confirmation is valid.
@@ -16,8 +18,13 @@
 
 	mu      sync.RWMutex
 	current *Catalog
-	// revision is the store revision of current.
-	revision int64
+	// revision is the store revision of the last catalog read, taken that of
+	// current.
+	revision, taken backing.Revision
+	// required is the newest version that another host is known to have had. behind is
+	// set while the store has an older one than is known.
+	required int64
+	behind   bool
 	// confirmedAt is when the last confirming read was sent, if confirmed.
 	confirmedAt lease.Instant
 	confirmed   bool
@@ -36,32 +43,66 @@
 	return c.current
 }
 
-// Revision returns the store revision of the newest catalog.
-func (c *Cache) Revision() int64 {
+// Revision returns the store revision of the last catalog read.
+func (c *Cache) Revision() backing.Revision {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.revision
 }
 
+// Behind reports whether the store has an older catalog than is known, since it was
+// restored from a copy.
+func (c *Cache) Behind() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.behind
+}
+
 // Update stores a catalog read from the store at a revision if it is newer than
-// the current one, and reports whether it is.
-func (c *Cache) Update(revision int64, next *Catalog) bool {
+// the current one, and reports whether it is. In a later era of the store, a catalog of an
+// older version than is known is not: what was written since the copy is written again.
+func (c *Cache) Update(revision backing.Revision, next *Catalog) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision <= c.revision {
 		return false
 	}
-	c.revision, c.current = revision, next
+	c.revision = revision
+	known := c.required
+	if c.current != nil {
+		known = max(known, c.current.Version)
+	}
+	if c.behind = revision.Era() > c.taken.Era() && next.Version < known; c.behind {
+		return false
+	}
+	c.taken, c.current = revision, next
+	return true
+}
+
+// Require records that another host has had a version though it had read the store no later
+// than this host. An older one is withdrawn: the store had it from a copy. It reports
+// whether that was so.
+func (c *Cache) Require(version int64, read backing.Revision) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.revision == 0 || read > c.revision || version <= c.required {
+		return false
+	}
+	c.required = version
+	if c.current == nil || c.current.Version >= version {
+		return false
+	}
+	c.current, c.taken, c.confirmed, c.behind = nil, 0, false, true
 	return true
 }
 
 // Confirm records that a linearizable read sent at the given instant returned
 // the revision. It is ignored unless that is the revision of the current
 // catalog.
-func (c *Cache) Confirm(revision int64, sent lease.Instant) {
+func (c *Cache) Confirm(revision backing.Revision, sent lease.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision != c.revision {
+	if revision != c.revision || c.behind {
 		return
 	}
 	if !c.confirmed || sent.Since(c.confirmedAt) > 0 {
--- a/internal/catalog/cache_test.go
+++ b/internal/catalog/cache_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/lease"
 )
 
@@ -73,3 +74,55 @@
 	is.True(ok)
 	is.Equal(age, time.Second)
 }
+
+func inEra(t *testing.T, era, number int64) backing.Revision {
+	t.Helper()
+	r, err := backing.NewRevision(era, number)
+	is.New(t).NoErr(err)
+	return r
+}
+
+// Guards against an older version of a store that was restored from a copy, and against one
+// that is confirmed for want of the newer.
+func TestOlderVersionOfLaterEraIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{}
+	cache := NewCache(clock, 4*time.Second)
+	is.True(cache.Update(inEra(t, 1, 90), newCatalog(13)))
+	cache.Confirm(inEra(t, 1, 90), clock.Now())
+	clock.advance(time.Second)
+	is.True(!cache.Update(inEra(t, 2, 58), newCatalog(11)))
+	cache.Confirm(inEra(t, 2, 58), clock.Now())
+	is.Equal(cache.Current().Version, int64(13))
+	is.True(cache.Behind())
+	age, _ := cache.Age()
+	is.Equal(age, time.Second) // not confirmed
+	is.True(cache.Update(inEra(t, 2, 60), newCatalog(13)))
+	cache.Confirm(inEra(t, 2, 60), clock.Now())
+	age, _ = cache.Age()
+	is.Equal(age, time.Duration(0))
+	is.True(!cache.Behind())
+	is.True(cache.Update(inEra(t, 2, 61), newCatalog(12))) // the operator's own, within the era
+}
+
+// Guards against a host that starts from a copy and serves what other hosts know to be old.
+func TestVersionOlderThanKnownElsewhereIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{}
+	cache := NewCache(clock, 4*time.Second)
+	is.True(!cache.Require(13, inEra(t, 1, 90))) // nothing is read yet
+	is.True(cache.Update(inEra(t, 2, 58), newCatalog(11)))
+	cache.Confirm(inEra(t, 2, 58), clock.Now())
+	is.True(!cache.Require(12, inEra(t, 2, 59))) // read later: a newer version, which will be read
+	is.True(cache.Fresh())
+	is.True(cache.Require(13, inEra(t, 1, 90)))
+	is.True(cache.Current() == nil)
+	is.True(!cache.Fresh())
+	is.True(!cache.Update(inEra(t, 2, 59), newCatalog(12)))
+	cache.Confirm(inEra(t, 2, 59), clock.Now())
+	is.True(!cache.Fresh())
+	is.True(cache.Update(inEra(t, 2, 60), newCatalog(13)))
+	cache.Confirm(inEra(t, 2, 60), clock.Now())
+	is.True(cache.Fresh())
+	is.True(!cache.Require(13, inEra(t, 1, 90)))
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -1,6 +1,8 @@
 // Package endpoint caches the endpoints listed in the platform's registry.
 package endpoint
 
+import "github.com/acacialink/acacialink/internal/backing"
+
 // Stage is the phase of a generation that an engine executes.
 type Stage uint8
 
@@ -36,7 +38,7 @@
 	Slots int
 	Stage Stage
 	// Revision is the store revision of the registry entry.
-	Revision int64
+	Revision backing.Revision
 	// Draining endpoints accept no new work.
 	Draining bool
 }
--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // Set is the set of endpoints that accept work. It is safe for concurrent use.
@@ -40,7 +42,7 @@
 
 // entryVersion is the latest known revision of an entry, which may be deleted.
 type entryVersion struct {
-	revision int64
+	revision backing.Revision
 	// updatedAt is the time of the latest update; it is refreshed while the
 	// endpoint is in the set.
 	updatedAt time.Time
@@ -110,7 +112,7 @@
 }
 
 // Replace applies a complete listing of the registry as of revision or later.
-func (s *Set) Replace(now time.Time, revision int64, listing []*Endpoint) Change {
+func (s *Set) Replace(now time.Time, revision backing.Revision, listing []*Endpoint) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
@@ -163,7 +165,7 @@
 }
 
 // Remove applies the deletion of an ID's entry at a revision.
-func (s *Set) Remove(now time.Time, id string, revision int64) Change {
+func (s *Set) Remove(now time.Time, id string, revision backing.Revision) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var change Change
--- a/internal/endpoint/set_test.go
+++ b/internal/endpoint/set_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 const settlingDelay = 2 * time.Second
@@ -102,7 +104,7 @@
 }
 
 // newEngineAt returns an engine whose entry has the revision.
-func newEngineAt(id string, revision int64) *Endpoint {
+func newEngineAt(id string, revision backing.Revision) *Endpoint {
 	e := newEngine(id)
 	e.Revision = revision
 	return e
--- a/internal/endpoint/view.go
+++ b/internal/endpoint/view.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/acacialink/acacialink/internal/backing"
 )
 
 // RegistryView tracks the keys and revisions of the registry's entries as read
@@ -19,7 +21,7 @@
 
 // entryState is the latest state read of an entry, which may be deleted.
 type entryState struct {
-	revision  int64
+	revision  backing.Revision
 	present   bool
 	updatedAt time.Time
 }
@@ -28,7 +30,7 @@
 func NewRegistryView() *RegistryView { return &RegistryView{entries: make(map[string]entryState)} }
 
 // Put applies an entry and reports whether it changed the view.
-func (v *RegistryView) Put(now time.Time, key string, revision int64) bool {
+func (v *RegistryView) Put(now time.Time, key string, revision backing.Revision) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old, known := v.entries[key]
@@ -41,7 +43,7 @@
 
 // Remove applies the deletion of an entry at a revision and reports whether the
 // entry was present.
-func (v *RegistryView) Remove(now time.Time, key string, revision int64) bool {
+func (v *RegistryView) Remove(now time.Time, key string, revision backing.Revision) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old, known := v.entries[key]
@@ -55,7 +57,7 @@
 
 // Missing returns the keys of present entries that a listing as of revision
 // lacks, without entries newer than the listing.
-func (v *RegistryView) Missing(listed map[string]bool, revision int64) []string {
+func (v *RegistryView) Missing(listed map[string]bool, revision backing.Revision) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var missing []string
@@ -95,7 +97,7 @@
 	}
 }
 
-func hashEntry(key string, revision int64) uint64 {
+func hashEntry(key string, revision backing.Revision) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(key)
--- a/internal/endpoint/view_test.go
+++ b/internal/endpoint/view_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/backing"
 	"pgregory.net/rapid"
 )
 
@@ -15,12 +17,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		type change struct {
 			key      string
-			revision int64
+			revision backing.Revision
 			removed  bool
 		}
 		var changes []change
 		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
-			changes = append(changes, change{fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), int64(i + 1), rapid.Bool().Draw(t, "gone")})
+			changes = append(changes, change{fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), backing.Revision(i + 1), rapid.Bool().Draw(t, "gone")})
 		}
 		apply := func(v *RegistryView, list []change) {
 			for _, c := range list {
--- a/internal/host/era.go
+++ b/internal/host/era.go
@@ -1,10 +1,18 @@
 package host
 
 import (
+	"sync/atomic"
+
 	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
+// revisionCell holds a revision. It is safe for concurrent use.
+type revisionCell struct{ v atomic.Int64 }
+
+func (c *revisionCell) Load() backing.Revision   { return backing.Revision(c.v.Load()) }
+func (c *revisionCell) Store(r backing.Revision) { c.v.Store(int64(r)) }
+
 // watchEra logs and counts when the store comes back from an older copy.
 func (h *Host) watchEra() {
 	source, ok := h.opts.Ports.Store.(backing.EraSource)
@@ -15,15 +23,12 @@
 	source.OnEra(h.eraChanged)
 }
 
-// eraChanged handles a later era of the store; before is 0 if none was known.
+// eraChanged handles a later era of the store; before is 0 if none was known. Entries of
+// endpoints may be missing until they are written again, as after an outage.
 func (h *Host) eraChanged(before, now int64) {
 	if before == 0 {
 		return
 	}
-	current := h.catalog.Current()
-	version := int64(0)
-	if current != nil {
-		version = current.Version
-	}
-	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, h.catalog.Revision(), "config_version", version)
+	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, int64(h.catalog.Revision()), "config_version", h.catalogVersion())
+	h.endpoints.RegistryFailed()
 }
--- a/internal/host/fuzz_test.go
+++ b/internal/host/fuzz_test.go
@@ -33,7 +33,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte, workspace string, tokens, age int64) {
 		h := newTestHost(func(kv backing.KeyValue) (*endpoint.Endpoint, error) {
-			return &endpoint.Endpoint{ID: kv.Key, Service: "s", Revision: int64(kv.Revision)}, nil
+			return &endpoint.Endpoint{ID: kv.Key, Service: "s", Revision: kv.Revision}, nil
 		})
 		h.catalog.Update(1, catalog.New(1, catalog.Limits{}, nil, nil, []*catalog.Workspace{{Name: "w", Rate: 10, Burst: 10}}, nil))
 		h.tracker.Begin(time.Now(), &endpoint.Endpoint{ID: "x"}, &placement.Plan{}, &placement.Job{})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,7 +94,7 @@
 	delays      schedulingDelays
 	termination *termination.State
 	// listedRevision is the store revision of the last listing of endpoints.
-	listedRevision atomic.Int64
+	listedRevision revisionCell
 
 	mu sync.Mutex // guards the fields below
 	// undecodable holds the last revision of each entry that was skipped, by
--- a/internal/host/registry.go
+++ b/internal/host/registry.go
@@ -45,7 +45,7 @@
 		present[kv.Key] = true
 		events = append(events, backing.Event{KeyValue: kv})
 	}
-	for _, key := range r.view.Missing(present, int64(revision)) {
+	for _, key := range r.view.Missing(present, revision) {
 		events = append(events, deletion(key, revision))
 	}
 	return events
@@ -65,7 +65,7 @@
 			continue
 		}
 		applied++
-		r.retain(peer.Change{Key: ev.Key, Value: ev.Value, Revision: int64(ev.Revision), Deleted: ev.Deleted})
+		r.retain(peer.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted})
 	}
 	return applied
 }
@@ -73,9 +73,9 @@
 // apply applies an event and reports whether it was new.
 func (r *registry) apply(now time.Time, ev backing.Event) bool {
 	if ev.Deleted {
-		return r.view.Remove(now, ev.Key, int64(ev.Revision))
+		return r.view.Remove(now, ev.Key, ev.Revision)
 	}
-	return r.view.Put(now, ev.Key, int64(ev.Revision))
+	return r.view.Put(now, ev.Key, ev.Revision)
 }
 
 // retain retains a change for peers.
@@ -98,7 +98,7 @@
 
 // changeEvent returns a peer's change as an event.
 func changeEvent(c peer.Change) backing.Event {
-	return backing.Event{KeyValue: backing.KeyValue{Key: c.Key, Value: c.Value, Revision: backing.Revision(c.Revision)}, Deleted: c.Deleted}
+	return backing.Event{KeyValue: backing.KeyValue{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted}
 }
 
 // changesSince returns the retained changes that this host read from the given number
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -5,6 +5,7 @@
 
 	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/lease"
+	"github.com/acacialink/acacialink/internal/observe"
 	"github.com/acacialink/acacialink/internal/peer"
 )
 
@@ -13,9 +14,10 @@
 	configAge, configKnown := h.catalog.Age()
 	endpointsAge, endpointsKnown := h.registry.age()
 	return peer.VersionReports{
-		WatchesStore: endpointsKnown && !h.endpointPoller.failing.Load() && !h.termination.Stopping() && h.watchesStore(),
-		Config:       versionReport(uint64(h.catalog.Revision()), configAge, configKnown), //nolint:gosec // a revision is not negative
-		Endpoints:    versionReport(h.registry.view.Sum(), endpointsAge, endpointsKnown),
+		WatchesStore:   endpointsKnown && !h.endpointPoller.failing.Load() && !h.termination.Stopping() && h.watchesStore(),
+		Config:         versionReport(uint64(h.catalog.Revision()), configAge, configKnown && !h.catalog.Behind()), //nolint:gosec // a revision is not negative
+		CatalogVersion: h.catalogVersion(),
+		Endpoints:      versionReport(h.registry.view.Sum(), endpointsAge, endpointsKnown),
 	}
 }
 
@@ -55,6 +57,14 @@
 	return watchers
 }
 
+// catalogVersion returns the version of the configuration in force; 0 for none.
+func (h *Host) catalogVersion() int64 {
+	if current := h.catalog.Current(); current != nil {
+		return current.Version
+	}
+	return 0
+}
+
 // receiveVersionReports records a peer's version reports and triggers a read if the
 // peer has a newer configuration. It confirms nothing, because the message may have
 // been in flight for any time.
@@ -62,7 +72,12 @@
 	h.mu.Lock()
 	h.peerVersions[s.Host] = s.Versions
 	h.mu.Unlock()
-	if s.Versions.Config.Version > uint64(h.catalog.Revision()) { //nolint:gosec // a revision is not negative
+	read := backing.Revision(s.Versions.Config.Version) //nolint:gosec // the peer converted it from an int64
+	if read > h.catalog.Revision() {
+		h.configPoller.Trigger()
+	}
+	if version := s.Versions.CatalogVersion; h.catalog.Require(version, read) {
+		h.opts.Log.Warn("configuration withdrawn", observe.FieldPeer, s.Host, "config_version", version)
 		h.configPoller.Trigger()
 	}
 }
@@ -74,7 +89,7 @@
 func (h *Host) receiveAnswer(in *peer.Snapshot, started lease.Instant) {
 	h.receiveVersionReports(in)
 	if config := in.Versions.Config; config.AgeMillis >= 0 {
-		h.catalog.Confirm(int64(config.Version), started.Add(-time.Duration(config.AgeMillis)*time.Millisecond)) //nolint:gosec // the peer converted it from an int64
+		h.catalog.Confirm(backing.Revision(config.Version), started.Add(-time.Duration(config.AgeMillis)*time.Millisecond)) //nolint:gosec // the peer converted it from an int64
 	}
 	if endpoints := in.Versions.Endpoints; endpoints.AgeMillis >= 0 && endpoints.Version == h.registry.view.Sum() {
 		h.registry.confirm(started.Add(-time.Duration(endpoints.AgeMillis) * time.Millisecond))
--- a/internal/host/versions_test.go
+++ b/internal/host/versions_test.go
@@ -17,25 +17,31 @@
 // service.
 func newEndpointHost() *Host {
 	return newTestHost(func(kv backing.KeyValue) (*endpoint.Endpoint, error) {
-		return &endpoint.Endpoint{ID: kv.Key, Service: "s", Slots: 1, Revision: int64(kv.Revision)}, nil
+		return &endpoint.Endpoint{ID: kv.Key, Service: "s", Slots: 1, Revision: kv.Revision}, nil
 	})
 }
 
 // applyListing applies a listing of the registry with the given keys at a revision, as
 // listEndpoints does.
-func (h *Host) applyListing(revision int64, sent lease.Instant, keys ...string) {
+func (h *Host) applyListing(revision backing.Revision, sent lease.Instant, keys ...string) {
 	var items []backing.KeyValue
-	var listing []*endpoint.Endpoint
 	for _, key := range keys {
-		kv := backing.KeyValue{Key: key, Revision: 1}
-		items = append(items, kv)
+		items = append(items, backing.KeyValue{Key: key, Revision: 1})
+	}
+	h.applyItems(items, revision)
+	h.registry.confirm(sent)
+}
+
+// applyItems applies a listing without confirming it.
+func (h *Host) applyItems(items []backing.KeyValue, revision backing.Revision) {
+	var listing []*endpoint.Endpoint
+	for _, kv := range items {
 		e, _ := h.decodeEndpoint(kv)
 		listing = append(listing, e)
 	}
 	h.endpoints.Replace(time.Now(), revision, listing)
 	h.listedRevision.Store(revision)
-	h.applyRead(h.registry.listingEvents(items, backing.Revision(revision)))
-	h.registry.confirm(sent)
+	h.applyRead(h.registry.listingEvents(items, revision))
 }
 
 // endpointIDs returns the concatenated IDs of the service's endpoints.
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -39,25 +39,30 @@
 	if err := h.applyConfig(kv); err != nil {
 		return err
 	}
-	h.catalog.Confirm(int64(kv.Revision), sent)
+	if h.catalog.Behind() {
+		return errOlderConfig
+	}
+	h.catalog.Confirm(kv.Revision, sent)
 	return nil
 }
 
+// errOlderConfig reports that the store has an older configuration than is known.
+var errOlderConfig = errors.New("the store was restored and has an older configuration")
+
 // applyConfig puts a configuration in force if it is newer than the current one.
 func (h *Host) applyConfig(kv backing.KeyValue) error {
-	if int64(kv.Revision) < h.catalog.Revision() && h.firstFailure(kv) {
-		h.opts.Log.Warn("configuration in the store is older", observe.FieldRevision, int64(kv.Revision), "revision_in_force", h.catalog.Revision())
-	}
-	if int64(kv.Revision) <= h.catalog.Revision() {
+	if kv.Revision <= h.catalog.Revision() {
 		return nil
 	}
 	config, err := h.opts.Ports.Config.Decode(kv.Value)
 	if err != nil {
 		return errors.Wrap(err, "decode the configuration")
 	}
-	if h.catalog.Update(int64(kv.Revision), config) {
+	if h.catalog.Update(kv.Revision, config) {
 		h.group.TriggerExchange()
 		h.opts.Log.Info("configuration in force", observe.FieldRevision, int64(kv.Revision), "config_version", config.Version)
+	} else if h.catalog.Behind() {
+		h.opts.Log.Warn("configuration in the store is older", observe.FieldRevision, int64(kv.Revision), "config_version", config.Version)
 	}
 	return nil
 }
@@ -80,10 +85,10 @@
 // watch applies changes under a prefix while this host is a store watcher. It starts
 // from the revision last read and restarts there after a failed call. Changes that
 // the watch misses are found by the poller's reads.
-func (h *Host) watch(ctx context.Context, prefix string, source *poller, lastRead func() int64, apply func([]backing.Event)) {
+func (h *Host) watch(ctx context.Context, prefix string, source *poller, lastRead func() backing.Revision, apply func([]backing.Event)) {
 	after := backing.Revision(0)
 	for ctx.Err() == nil {
-		after = max(after, backing.Revision(lastRead()))
+		after = max(after, lastRead())
 		if after == 0 || !h.watchesStore() {
 			backing.Pause(ctx, roleCheckInterval)
 			continue
@@ -96,7 +101,7 @@
 			if errors.Is(err, backing.ErrCompacted) {
 				// The store has compacted these revisions. Continue from the latest
 				// listing; a read finds the changes before it.
-				after = backing.Revision(h.listedRevision.Load())
+				after = h.listedRevision.Load()
 				source.Trigger()
 			}
 			backing.Pause(ctx, watchRetryDelay)
@@ -123,8 +128,8 @@
 			listing = append(listing, e)
 		}
 	}
-	h.endpointsChanged(h.endpoints.Replace(time.Now(), int64(revision), listing))
-	h.listedRevision.Store(int64(revision))
+	h.endpointsChanged(h.endpoints.Replace(time.Now(), revision, listing))
+	h.listedRevision.Store(revision)
 	h.applyRead(h.registry.listingEvents(items, revision))
 	h.registry.confirm(sent)
 	return nil
@@ -162,7 +167,7 @@
 	for _, ev := range events {
 		if ev.Deleted {
 			if id, ok := h.opts.Ports.Endpoints.ID(ev.Key); ok {
-				h.endpointsChanged(h.endpoints.Remove(time.Now(), id, int64(ev.Revision)))
+				h.endpointsChanged(h.endpoints.Remove(time.Now(), id, ev.Revision))
 			}
 			continue
 		}
@@ -187,7 +192,7 @@
 	h.endpointsChanged(change)
 	var events []backing.Event
 	for _, e := range change.Removed {
-		events = append(events, deletion(h.opts.Ports.Endpoints.Prefix+e.ID, backing.Revision(h.listedRevision.Load())))
+		events = append(events, deletion(h.opts.Ports.Endpoints.Prefix+e.ID, h.listedRevision.Load()))
 	}
 	h.applyRead(events)
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/pace"
 	"github.com/acacialink/acacialink/internal/peer/peerwire"
 	"github.com/acacialink/acacialink/internal/placement"
@@ -90,7 +91,7 @@
 		Delegate: s.Delegate, Leader: s.Leader, LeaderHost: s.LeaderHost, Draining: s.Draining,
 		Consumed: t.amounts(s.ConsumedTokens), WindowTokens: t.amounts(s.WindowTokens), Walls: t.amounts(s.Walls),
 		WatchesStore: s.Versions.WatchesStore, ConfigVersion: s.Versions.Config.Version, ConfigAgeMs: s.Versions.Config.AgeMillis,
-		EndpointsVersion: s.Versions.Endpoints.Version, EndpointsAgeMs: s.Versions.Endpoints.AgeMillis,
+		EndpointsVersion: s.Versions.Endpoints.Version, EndpointsAgeMs: s.Versions.Endpoints.AgeMillis, CatalogVersion: s.Versions.CatalogVersion,
 		DispatchesFirst: s.Dispatches.First, DispatchesNext: s.Dispatches.Next, ChangesNext: s.ChangesNext,
 		AfterDispatches: s.After.Dispatches, AfterChanges: s.After.Changes, AfterOf: s.AfterOf,
 		AfterReports: s.After.Reports, AfterSurvivals: s.After.Survivals, Evidence: t.evidence(s.Evidence),
@@ -114,7 +115,7 @@
 		})
 	}
 	for _, c := range s.Changes {
-		w.Changes = append(w.Changes, &peerwire.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+		w.Changes = append(w.Changes, &peerwire.Change{Key: c.Key, Value: c.Value, Revision: int64(c.Revision), Deleted: c.Deleted})
 	}
 	for incarnation, windows := range s.Usage {
 		for window, counts := range windows {
@@ -182,9 +183,10 @@
 		Delegate: w.GetDelegate(), Leader: w.GetLeader(), LeaderHost: w.GetLeaderHost(), Draining: w.GetDraining(),
 		ConsumedTokens: names.amounts(w.GetConsumed()), WindowTokens: names.amounts(w.GetWindowTokens()), Walls: names.amounts(w.GetWalls()),
 		Versions: VersionReports{
-			WatchesStore: w.GetWatchesStore(),
-			Config:       VersionReport{Version: w.GetConfigVersion(), AgeMillis: w.GetConfigAgeMs()},
-			Endpoints:    VersionReport{Version: w.GetEndpointsVersion(), AgeMillis: w.GetEndpointsAgeMs()},
+			WatchesStore:   w.GetWatchesStore(),
+			Config:         VersionReport{Version: w.GetConfigVersion(), AgeMillis: w.GetConfigAgeMs()},
+			Endpoints:      VersionReport{Version: w.GetEndpointsVersion(), AgeMillis: w.GetEndpointsAgeMs()},
+			CatalogVersion: w.GetCatalogVersion(),
 		},
 		Dispatches:  placement.DispatchBatch{First: w.GetDispatchesFirst(), Next: w.GetDispatchesNext()},
 		ChangesNext: w.GetChangesNext(), AfterOf: w.GetAfterOf(),
@@ -212,7 +214,7 @@
 		})
 	}
 	for _, c := range w.GetChanges() {
-		s.Changes = append(s.Changes, Change{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision(), Deleted: c.GetDeleted()})
+		s.Changes = append(s.Changes, Change{Key: c.GetKey(), Value: c.GetValue(), Revision: backing.Revision(c.GetRevision()), Deleted: c.GetDeleted()})
 	}
 	s.Usage = names.usage(w.GetUsage())
 	return nil
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/pace"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/suspect"
@@ -85,7 +86,7 @@
 	// Value is the entry's new value; empty if the entry was deleted.
 	Value []byte
 	// Revision is the store revision of the change.
-	Revision int64
+	Revision backing.Revision
 	// Deleted reports whether the entry was deleted.
 	Deleted bool
 }
@@ -104,8 +105,11 @@
 	// WatchesStore reports whether the host watches the store on behalf of all hosts
 	// and its reads succeed.
 	WatchesStore bool
-	// Config reports the configuration; its version is the store revision.
-	Config VersionReport
+	// Config reports the configuration; its version is the store revision of the last
+	// read. CatalogVersion is the configuration's own version, which the store may have
+	// lost; 0 if there is none.
+	Config         VersionReport
+	CatalogVersion int64
 	// Endpoints reports the endpoint registry; its version is a checksum of the
 	// entries' keys and revisions.
 	Endpoints VersionReport
--- a/internal/standin/kv/watcher.go
+++ b/internal/standin/kv/watcher.go
@@ -30,7 +30,7 @@
 // most maxWatchEvents, and the revision to continue from. The caller must hold
 // mu.
 func (s *Store) eventsAfter(prefix string, after backing.Revision) ([]backing.Event, backing.Revision, error) {
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, 0, backing.ErrCompacted
 	}
 	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
