leader: a usage window that may have been reported is not reported with other counts

Cause: the final counts of a window are kept in the store so that every leader reports the same. A restored store has lost those that were sealed since the copy; the next leader, or the same one after a lost response, sealed them again from other counts. The class: what was acknowledged is taken to stay.

Change: a leader keeps the counts that it read or sealed, and seals the same again. One that has none for a window leaves it out if the window could be sealed before the store's era began; the first leader of an era writes to the store by when that was (acacialink/era), or when its host saw it begin.

Why this works: a window can be sealed from its end and the settling time on. If that is after the era began, what the store lacks was never sealed; before, only who sealed it can know.

Tests: each of the four conditions taken out fails one of the three new tests; seen.

--- a/internal/host/era.go
+++ b/internal/host/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
 	"github.com/acacialink/acacialink/internal/observe"
@@ -30,5 +31,16 @@
 		return
 	}
 	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, int64(h.catalog.Revision()), "config_version", h.catalogVersion())
+	h.mu.Lock()
+	h.eraSeen, h.eraSeenAt = now, h.medianClock.Now()
+	h.mu.Unlock()
 	h.endpoints.RegistryFailed()
 }
+
+// eraNoticed returns the latest era of the store that this host saw begin, and when it did by
+// the median clock; 0 if it saw none.
+func (h *Host) eraNoticed() (era int64, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.eraSeen, h.eraSeenAt
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -108,6 +108,10 @@
 	incarnations map[string]string
 	// peerVersions holds the last version reports of each peer.
 	peerVersions map[string]peer.VersionReports
+	// eraSeen is the latest era of the store that this host saw begin, eraSeenAt when it did by
+	// the median clock.
+	eraSeen   int64
+	eraSeenAt time.Time
 	// stageChanges holds, by endpoint ID, when the stage changes that this host
 	// ordered will be complete.
 	stageChanges map[string]time.Time
--- /dev/null
+++ b/internal/leader/era_test.go
@@ -0,0 +1,111 @@
+package leader
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/standin/kv"
+)
+
+// eraStore is a store that can be restored.
+type eraStore struct {
+	backing.Store
+	backing.Eras
+}
+
+func newEraStore(s backing.Store) *eraStore {
+	e := &eraStore{Store: s}
+	e.Observe(1)
+	return e
+}
+
+// Guards against a window that is reported once more, with other counts, since the store has
+// lost its final ones.
+func TestWindowReportedBeforeRestorationIsNotReportedAgain(t *testing.T) {
+	for name, dead := range map[string]bool{"by the same leader": false, "by another leader": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := kv.New(kv.Options{})
+				defer store.Close()
+				first, second := newEraStore(store.Client("a")), newEraStore(store.Client("b"))
+				counter, late := NewCounter(window, time.Now), NewCounter(window, time.Now)
+				recorder := &fakeReporter{accepted: make(map[int64]Counts)}
+				leader, next := newTestUsageReporter(counter, first, recorder, "a-1"), newTestUsageReporter(late, second, recorder, "b-1")
+				is.NoErr(leader.step(t.Context(), 7))
+				current := counter.CurrentWindow()
+				counter.RecordStart("w")
+				copied := store.Copy()
+				time.Sleep(window + 3*time.Second)
+				is.NoErr(leader.step(t.Context(), 7))
+				is.Equal(recorder.accepted[current], Counts{"w": 1})
+				store.Restore(copied)
+				first.Observe(2)
+				second.Observe(2)
+				late.MergePeer("c-1", map[int64]map[string]int64{current: {"w": 5}})
+				counter.MergePeer("c-1", map[int64]map[string]int64{current: {"w": 5}})
+				if dead {
+					leader = next
+				} else {
+					delete(recorder.accepted, current) // the report was lost
+					delete(leader.reported, current)
+				}
+				is.NoErr(leader.step(t.Context(), 8))
+				is.Equal(recorder.accepted[current], Counts{"w": 1})
+				counter.RecordStart("v")
+				late.RecordStart("v")
+				later := counter.CurrentWindow()
+				time.Sleep(window + 3*time.Second)
+				is.NoErr(leader.step(t.Context(), 8))
+				is.Equal(recorder.accepted[later]["v"], int64(1)) // those since are reported
+			})
+		})
+	}
+}
+
+// Guards against a leader that starts long after a restoration and takes it for the reason why
+// a window has no final counts.
+func TestLaterLeaderKnowsWhenEraBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		client := newEraStore(store.Client("a"))
+		recorder := &fakeReporter{accepted: make(map[int64]Counts)}
+		is.NoErr(newTestUsageReporter(NewCounter(window, time.Now), client, recorder, "a-1").step(t.Context(), 7))
+		time.Sleep(time.Minute)
+		counter := NewCounter(window, time.Now)
+		next := newTestUsageReporter(counter, client, recorder, "b-1")
+		current := counter.CurrentWindow()
+		counter.RecordStart("w")
+		time.Sleep(window + 3*time.Second)
+		is.NoErr(next.step(t.Context(), 8))
+		is.Equal(recorder.accepted[current], Counts{"w": 1})
+	})
+}
+
+// Guards against windows that are left out though this process saw the era begin before they
+// could be reported.
+func TestEraCountsFromWhenItWasNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		client := newEraStore(store.Client("a"))
+		counter := NewCounter(window, time.Now)
+		recorder := &fakeReporter{accepted: make(map[int64]Counts)}
+		leader := newTestUsageReporter(counter, client, recorder, "a-1")
+		client.Observe(2)
+		noticed := time.Now()
+		leader.eras.noticed = func() (int64, time.Time) { return 2, noticed }
+		current := counter.CurrentWindow()
+		counter.RecordStart("w")
+		time.Sleep(window + 3*time.Second) // until it leads
+		is.NoErr(leader.step(t.Context(), 8))
+		is.Equal(recorder.accepted[current], Counts{"w": 1})
+	})
+}
--- a/internal/leader/runner.go
+++ b/internal/leader/runner.go
@@ -56,6 +56,9 @@
 	SettlingDelay time.Duration
 	Counter       *Counter
 	Store         backing.Store
+	// EraNoticed returns the latest era of the store that this process saw begin, and when it
+	// did by the time that Counter uses; 0 if it saw none.
+	EraNoticed func() (era int64, at time.Time)
 	// Reporter sends the usage reports; nil disables them.
 	Reporter  Reporter
 	Engines   Engines
@@ -97,7 +100,7 @@
 		opts: opts, lastOrder: make(map[endpoint.Key]lease.Instant), imbalancedSince: make(map[string]lease.Instant), engineCounts: make(map[string]int),
 		usage: usageReporter{
 			counter: opts.Counter, store: opts.Store, reporter: opts.Reporter, host: opts.Host, incarnation: opts.Incarnation,
-			settlingDelay: opts.SettlingDelay, log: opts.Log, reported: make(map[int64]bool), firstWindow: opts.Counter.CurrentWindow() - 1,
+			settlingDelay: opts.SettlingDelay, log: opts.Log, reported: make(map[int64]bool), sealed: make(map[int64]Counts), eras: eraLog{store: opts.Store, now: opts.Counter.now, noticed: opts.EraNoticed}, firstWindow: opts.Counter.CurrentWindow() - 1,
 		},
 	}
 }
--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -205,8 +205,12 @@
 	// collected.
 	settlingDelay time.Duration
 	log           *slog.Logger
-	// reported is the set of windows that this process has reported.
+	eras          eraLog
+	// reported is the set of windows that this process has reported, or leaves out.
 	reported map[int64]bool
+	// sealed holds the counts of the windows that this process has read or sealed: the
+	// store may lose them.
+	sealed map[int64]Counts
 	// firstWindow is the first window that this process reports.
 	firstWindow int64
 }
@@ -215,11 +219,20 @@
 // reported yet.
 func (r *usageReporter) step(ctx context.Context, fence int64) error {
 	last := r.counter.Window(r.counter.now().Add(-r.settlingDelay)) - 1
+	begun, err := r.eras.begunBy(ctx)
+	if err != nil {
+		return err
+	}
 	for window := max(r.firstWindow, last-retainedWindows/2); window <= last; window++ {
 		if r.reported[window] {
 			continue
 		}
-		counts, err := r.seal(ctx, window)
+		counts, err := r.seal(ctx, window, begun)
+		if errors.Is(err, errMayBeReported) {
+			r.reported[window] = true
+			r.log.Warn("usage window left out", observe.FieldWindow, window, observe.FieldFence, fence, observe.FieldError, err)
+			continue
+		}
 		if err != nil {
 			return errors.Wrapf(err, "seal usage window %d", window)
 		}
@@ -232,22 +245,46 @@
 	for window := range r.reported {
 		if window < last-2*retainedWindows {
 			delete(r.reported, window)
+			delete(r.sealed, window)
 		}
 	}
 	return nil
 }
 
+// errMayBeReported means that a window may have been reported before the store lost its
+// final counts. Others must not be reported.
+var errMayBeReported = errors.New("may have been reported before the store was restored")
+
+// eraClockMargin covers what clocks of hosts differ by when an era begins.
+const eraClockMargin = time.Second
+
+// mayBeReported reports whether another leader may have reported the window before the
+// store's era began.
+func (r *usageReporter) mayBeReported(window int64, begun time.Time) bool {
+	sealedFrom := time.Unix(0, (window+1)*int64(r.counter.window)).Add(r.settlingDelay)
+	return !begun.IsZero() && !sealedFrom.After(begun.Add(eraClockMargin))
+}
+
 // seal writes the final counts of a window to the store before they are
-// reported, so that every leader reports the same counts.
-func (r *usageReporter) seal(ctx context.Context, window int64) (Counts, error) {
+// reported, so that every leader reports the same counts. begun is a time by which the
+// store's era had begun: the store may have lost what was sealed before.
+func (r *usageReporter) seal(ctx context.Context, window int64, begun time.Time) (Counts, error) {
 	key := fmt.Sprintf("%s%d", sealedPrefix, window)
 	sealed, err := r.readSealed(ctx, key)
+	if err == nil {
+		r.sealed[window] = sealed
+	}
 	if err == nil || !errors.Is(err, backing.ErrNotFound) {
 		return sealed, err
 	}
-	counts, err := r.collect(ctx, window)
-	if err != nil {
-		return nil, err
+	counts, known := r.sealed[window]
+	if !known && r.mayBeReported(window, begun) {
+		return nil, errMayBeReported
+	}
+	if !known {
+		if counts, err = r.collect(ctx, window); err != nil {
+			return nil, err
+		}
 	}
 	text, err := json.Marshal(counts)
 	if err != nil {
@@ -260,8 +297,11 @@
 	if _, err := r.store.CompareAndSwap(ctx, key, 0, text, lease.ID); err != nil {
 		// Another leader sealed the window, or the response was lost. The stored
 		// counts apply.
-		return r.readSealed(ctx, key)
+		if counts, err = r.readSealed(ctx, key); err != nil {
+			return nil, err
+		}
 	}
+	r.sealed[window] = counts
 	return counts, nil
 }
 
