leader, evidence: what a restored store may have lost is written again

What was lost: usage counts and evidence on segments of prompts that hosts had written since the copy were not written again unless they changed, so that the loss of their host, or of all, took them along (not seen in the plays; by reading and by test).

Cause: writers remember what they wrote last and skip what is the same; what was acknowledged is taken to stay.

Change: both write again in a new era of the store.

TestEvidenceIsWrittenAgainToRestoredStore and TestCountsAreWrittenAgainToRestoredStore fail without their part; seen.

--- a/internal/evidence/keeper.go
+++ b/internal/evidence/keeper.go
@@ -47,6 +47,9 @@
 	// time of that write.
 	revision backing.Revision
 	version  int64
+	// stored is set once evidence was in the store, in era or before.
+	stored bool
+	era    int64
 }
 
 // savedEvidence is the value in the store.
@@ -73,9 +76,11 @@
 			return
 		}
 	}
+	k.era = backing.EraOf(k.Store)
 	for backing.Pause(ctx, saveInterval) {
 		version := k.Ledger.Version()
-		if version == k.version || !k.Writes() {
+		lost := k.stored && backing.EraOf(k.Store) != k.era // the store may have been restored to before
+		if version == k.version && !lost || !k.Writes() {
 			continue
 		}
 		if err := k.write(ctx, version); err != nil {
@@ -99,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	k.revision = kv.Revision
+	k.revision, k.stored = kv.Revision, true
 	var saved savedEvidence
 	batch, err := decode(kv.Value, &saved)
 	if err != nil {
@@ -144,6 +149,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	era := backing.EraOf(k.Store)
 	revision, err := k.Store.CompareAndSwap(callCtx, key, k.revision, value, 0)
 	if err != nil {
 		if !errors.Is(err, backing.ErrUnavailable) {
@@ -152,6 +158,6 @@
 		}
 		return err
 	}
-	k.revision, k.version = revision, version
+	k.revision, k.version, k.stored, k.era = revision, version, true, era
 	return nil
 }
--- a/internal/evidence/keeper_test.go
+++ b/internal/evidence/keeper_test.go
@@ -205,3 +205,35 @@
 		is.NoErr(err)
 	})
 }
+
+// eraStore is a store that can be restored.
+type eraStore struct {
+	backing.Store
+	backing.Eras
+}
+
+// Guards against evidence that a restored store has lost and nobody writes again.
+func TestEvidenceIsWrittenAgainToRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		copied := store.Copy()
+		client := &eraStore{Store: store.Client("a")}
+		client.Observe(1)
+		a := newKeeper(client, "a")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a.run(t, 10*time.Second)
+		}()
+		a.crash(1, 2, 3)
+		time.Sleep(time.Second)
+		store.Restore(copied)
+		client.Observe(2)
+		<-done
+		b := newKeeper(store.Client("b"), "b")
+		b.run(t, time.Second)
+		is.True(b.holds(2))
+		is.True(len(store.Record()) <= 4) // at most one a crash, and one since the restoration
+	})
+}
--- a/internal/leader/era_test.go
+++ b/internal/leader/era_test.go
@@ -109,3 +109,29 @@
 		is.Equal(recorder.accepted[current], Counts{"w": 1})
 	})
 }
+
+// Guards against counts that a restored store has lost and nobody writes again: they would be
+// gone with their host.
+func TestCountsAreWrittenAgainToRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		copied := store.Copy()
+		client := newEraStore(store.Client("a"))
+		counter := NewCounter(window, time.Now)
+		writer := &CountsWriter{IsLeader: falseFunc, ReceivedByLeader: falseFunc, Counter: counter, Store: client, Incarnation: "a-1", Log: discardLog}
+		writer.init()
+		key := countsKey(counter.CurrentWindow()) + "a-1"
+		counter.RecordStart("w")
+		writer.save(t.Context())
+		store.Restore(copied)
+		client.Observe(2)
+		for range 2 { // the lease is gone as well
+			writer.save(t.Context())
+		}
+		kv, err := client.Get(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(string(kv.Value), `{"a-1":{"w":1}}`)
+	})
+}
--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -60,8 +60,9 @@
 	received map[int64]string
 	// revisions holds the last known revision of each window's key.
 	revisions map[int64]backing.Revision
-	// saved holds the last value written for each window.
+	// saved holds the last value written for each window, in the era of the store.
 	saved map[int64]string
+	era   int64
 }
 
 // Run writes the counts periodically until ctx is canceled, and then once more.
@@ -79,6 +80,20 @@
 
 func (w *CountsWriter) init() {
 	w.revisions, w.saved, w.received = make(map[int64]backing.Revision), make(map[int64]string), make(map[int64]string)
+	w.era = backing.EraOf(w.Store)
+}
+
+// forgetWritten makes the writer write all counts again if the store was restored: it may have
+// lost them, also those that another leader wrote for this host.
+func (w *CountsWriter) forgetWritten() {
+	era := backing.EraOf(w.Store)
+	if era == w.era {
+		return
+	}
+	w.era = era
+	clear(w.saved)
+	clear(w.received)
+	clear(w.revisions)
 }
 
 const (
@@ -127,6 +142,7 @@
 		return
 	}
 	w.savedAt = time.Now()
+	w.forgetWritten()
 	for window := range w.Counter.RecentWindows() {
 		text, err := json.Marshal(w.counts(window, isLeader))
 		if err != nil {
