lease, leader: a leader goes on when the store is restored

What operators would see: nobody led for a lease's term after a restoration, since the leader's key stood under the lease that it had lost; then a host that may not know what was reported led, and left usage windows out that nobody had sealed.

Change: a process moves its own key to its new lease. A host that led when it saw the era begin knows that no other could seal a window since it took the lead, so that it reports what it has not sealed. One that had lost the lead counts from anew.

Why this works: only the process that wrote a key moves it, by compare-and-swap, and its lease was valid until the store was lost, so that no other had one.

Tests: without the move, the tenure or the question who led, the test of each fails; seen.

--- a/internal/host/era.go
+++ b/internal/host/era.go
@@ -2,9 +2,9 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/leader"
 	"github.com/acacialink/acacialink/internal/observe"
 )
 
@@ -31,16 +31,16 @@
 		return
 	}
 	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, int64(h.catalog.Revision()), "config_version", h.catalogVersion())
+	notice := leader.EraNotice{Era: now, At: h.medianClock.Now(), Led: h.isLeader()}
 	h.mu.Lock()
-	h.eraSeen, h.eraSeenAt = now, h.medianClock.Now()
+	h.eraNotice = notice
 	h.mu.Unlock()
 	h.endpoints.RegistryFailed()
 }
 
-// eraNoticed returns the latest era of the store that this host saw begin, and when it did by
-// the median clock; 0 if it saw none.
-func (h *Host) eraNoticed() (era int64, at time.Time) {
+// eraNoticed returns what this host saw of the latest era of the store that it saw begin.
+func (h *Host) eraNoticed() leader.EraNotice {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.eraSeen, h.eraSeenAt
+	return h.eraNotice
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -108,10 +108,8 @@
 	incarnations map[string]string
 	// peerVersions holds the last version reports of each peer.
 	peerVersions map[string]peer.VersionReports
-	// eraSeen is the latest era of the store that this host saw begin, eraSeenAt when it did by
-	// the median clock.
-	eraSeen   int64
-	eraSeenAt time.Time
+	// eraNotice is what this host saw of the latest era of the store that it saw begin.
+	eraNotice leader.EraNotice
 	// stageChanges holds, by endpoint ID, when the stage changes that this host
 	// ordered will be complete.
 	stageChanges map[string]time.Time
--- a/internal/leader/era.go
+++ b/internal/leader/era.go
@@ -19,14 +19,24 @@
 	NoticedAtMillis int64 `json:"noticed_at_ms"`
 }
 
+// EraNotice is what a process saw of the begin of an era of the store.
+type EraNotice struct {
+	// Era is the era, 0 for none.
+	Era int64
+	// At is when the process saw it, by the time of day that hosts agree on.
+	At time.Time
+	// Led reports whether its host was the leader by then: no other was when the store was
+	// lost.
+	Led bool
+}
+
 // eraLog keeps in the store by when its era had begun, for leaders that start later.
 type eraLog struct {
 	store backing.Store
 	// now returns the time of day that hosts agree on.
 	now func() time.Time
-	// noticed returns the latest era that this process saw begin, and when it did; 0 if it
-	// saw none.
-	noticed func() (era int64, at time.Time)
+	// noticed returns what this process saw of the latest era that it saw begin.
+	noticed func() EraNotice
 
 	// era is the era whose time is known, 0 for none, and begun that time.
 	era   int64
@@ -50,8 +60,8 @@
 		return l.begun, nil
 	}
 	begun := l.now()
-	if seen, at := l.noticed(); seen == era {
-		begun = at
+	if notice := l.noticed(); notice.Era == era {
+		begun = notice.At
 	}
 	value, err := json.Marshal(eraRecord{Era: era, NoticedAtMillis: begun.UnixMilli()})
 	if err != nil {
--- a/internal/leader/era_test.go
+++ b/internal/leader/era_test.go
@@ -101,7 +101,7 @@
 		leader := newTestUsageReporter(counter, client, recorder, "a-1")
 		client.Observe(2)
 		noticed := time.Now()
-		leader.eras.noticed = func() (int64, time.Time) { return 2, noticed }
+		leader.eras.noticed = func() EraNotice { return EraNotice{Era: 2, At: noticed} }
 		current := counter.CurrentWindow()
 		counter.RecordStart("w")
 		time.Sleep(window + 3*time.Second) // until it leads
@@ -135,3 +135,38 @@
 		is.Equal(string(kv.Value), `{"a-1":{"w":1}}`)
 	})
 }
+
+// Guards against windows that are left out though their leader led until the store was lost, and
+// against those that a leader before it may have reported.
+func TestLeaderThatLedThroughRestorationReportsItsWindows(t *testing.T) {
+	for name, led := range map[string]bool{"led": true, "had lost the lead": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := kv.New(kv.Options{})
+				defer store.Close()
+				client := newEraStore(store.Client("a"))
+				counter := NewCounter(window, time.Now)
+				recorder := &fakeReporter{accepted: make(map[int64]Counts)}
+				leader := newTestUsageReporter(counter, client, recorder, "a-1")
+				before := counter.CurrentWindow()
+				time.Sleep(window + 3*time.Second) // another host leads
+				counter.RecordStart("w")
+				during := counter.CurrentWindow()
+				leader.tookLead()
+				_, err := leader.eras.begunBy(t.Context())
+				is.NoErr(err)
+				time.Sleep(window + 3*time.Second) // the store is away
+				client.Observe(2)
+				notice := EraNotice{Era: 2, At: time.Now(), Led: led}
+				leader.eras.noticed = func() EraNotice { return notice }
+				leader.tookLead()
+				is.NoErr(leader.step(t.Context(), 8))
+				_, reported := recorder.accepted[before]
+				is.True(!reported)
+				_, reported = recorder.accepted[during]
+				is.Equal(reported, led)
+			})
+		})
+	}
+}
--- a/internal/leader/fakes_test.go
+++ b/internal/leader/fakes_test.go
@@ -83,7 +83,7 @@
 	set.Replace(time.Now(), 0, []*endpoint.Endpoint{engineAt("x", "a", endpoint.StageDecode), engineAt("y", "a", endpoint.StageDecode)})
 	return NewRunner(Options{
 		Host: "a", Incarnation: "a-1", Leases: leases, Clock: testClock{}, ReturnDelay: 3 * time.Second, SettlingDelay: 2 * time.Second,
-		Counter: NewCounter(window, time.Now), Store: store, Reporter: reporter, Engines: engines, Catalog: c, Endpoints: set,
+		Counter: NewCounter(window, time.Now), Store: store, EraNoticed: func() EraNotice { return EraNotice{} }, Reporter: reporter, Engines: engines, Catalog: c, Endpoints: set,
 		Balance: DefaultBalance(), OnStageChange: func(*endpoint.Endpoint, time.Duration) {}, EnginesIdle: func([]*endpoint.Endpoint) bool { return false }, Log: discardLog,
 	})
 }
--- a/internal/leader/runner.go
+++ b/internal/leader/runner.go
@@ -56,9 +56,9 @@
 	SettlingDelay time.Duration
 	Counter       *Counter
 	Store         backing.Store
-	// EraNoticed returns the latest era of the store that this process saw begin, and when it
-	// did by the time that Counter uses; 0 if it saw none.
-	EraNoticed func() (era int64, at time.Time)
+	// EraNoticed returns what this process saw of the latest era of the store that it saw
+	// begin.
+	EraNoticed func() EraNotice
 	// Reporter sends the usage reports; nil disables them.
 	Reporter  Reporter
 	Engines   Engines
@@ -130,6 +130,7 @@
 	}
 	if fence != r.fence {
 		r.fence, r.acquired, r.delay = fence, now, r.recordLeader(ctx)
+		r.usage.tookLead()
 		r.opts.Log.Info("duties taken", observe.FieldFence, fence, "wait_ms", r.delay)
 	}
 	if fence == r.rejectedFence || now.Since(r.acquired) < r.delay {
--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -227,6 +227,10 @@
 	// sealed holds the counts of the windows that this process has read or sealed: the
 	// store may lose them.
 	sealed map[int64]Counts
+	// ledSince is since when this process has been the leader without another between.
+	ledSince time.Time
+	// ledEra is the store's era when it last became the leader.
+	ledEra int64
 	// firstWindow is the first window that this process reports.
 	firstWindow int64
 }
@@ -278,7 +282,18 @@
 // store's era began.
 func (r *usageReporter) mayBeReported(window int64, begun time.Time) bool {
 	sealedFrom := time.Unix(0, (window+1)*int64(r.counter.window)).Add(r.settlingDelay)
-	return !begun.IsZero() && !sealedFrom.After(begun.Add(eraClockMargin))
+	ledThen := !r.ledSince.IsZero() && sealedFrom.After(r.ledSince.Add(eraClockMargin))
+	return !begun.IsZero() && !ledThen && !sealedFrom.After(begun.Add(eraClockMargin))
+}
+
+// tookLead records that this process has become the leader, or has become it again in an era of
+// the store that began while it was.
+func (r *usageReporter) tookLead() {
+	notice := r.eras.noticed()
+	if r.ledSince.IsZero() || !notice.Led || notice.Era != backing.EraOf(r.store) || notice.Era == r.ledEra {
+		r.ledSince = r.counter.now()
+	}
+	r.ledEra = backing.EraOf(r.store)
 }
 
 // seal writes the final counts of a window to the store before they are
--- a/internal/leader/usage_test.go
+++ b/internal/leader/usage_test.go
@@ -18,7 +18,7 @@
 	return &usageReporter{
 		counter: counter, store: store, reporter: recorder, host: incarnation, incarnation: incarnation, settlingDelay: 2 * time.Second, log: discardLog,
 		reported: make(map[int64]bool), sealed: make(map[int64]Counts), firstWindow: counter.CurrentWindow(),
-		eras: eraLog{store: store, now: counter.now, noticed: func() (int64, time.Time) { return 0, time.Time{} }},
+		eras: eraLog{store: store, now: counter.now, noticed: func() EraNotice { return EraNotice{} }},
 	}
 }
 
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -41,7 +41,7 @@
 		if !hadNoEffect(err) {
 			s.addPendingCreate(name)
 		}
-		if revision, ok = s.resolveCreate(ctx, name, id, err); !ok {
+		if revision, ok = s.resolveCreate(ctx, name, id, value, err); !ok {
 			return
 		}
 	}
@@ -82,36 +82,47 @@
 
 // resolveCreate determines after a failed create whether the key belongs to this
 // host under this lease, because the response to this or an earlier create was
-// lost.
-func (s *Set) resolveCreate(ctx context.Context, name string, id backing.LeaseID, cause error) (backing.Revision, bool) {
+// lost. It moves a key that this host wrote under an earlier lease to this one: the store
+// was restored, and no other host can hold the shard while the key exists.
+func (s *Set) resolveCreate(ctx context.Context, name string, id backing.LeaseID, value []byte, cause error) (backing.Revision, bool) {
 	if !errors.Is(cause, backing.ErrConflict) {
 		s.stats.Failures.Add(1)
 	}
 	if errors.Is(cause, backing.ErrUnavailable) {
 		return 0, false
 	}
-	revision, owned, err := s.readKey(ctx, name, id)
-	return revision, owned && err == nil
+	kv, own, err := s.readKey(ctx, name)
+	if err != nil || !own {
+		return 0, false
+	}
+	if kv.Lease == id {
+		return kv.Revision, true
+	}
+	s.stats.Calls.Add(1)
+	revision, err := s.opts.Store.CompareAndSwap(ctx, keyPrefix+name, kv.Revision, value, id)
+	if err != nil {
+		s.stats.Failures.Add(1)
+		return 0, false
+	}
+	return revision, true
 }
 
-// readKey reads the key of the shard and reports whether it belongs to this host
-// under the lease.
-func (s *Set) readKey(ctx context.Context, name string, id backing.LeaseID) (backing.Revision, bool, error) {
+// readKey reads the key of the shard and reports whether this process wrote it.
+func (s *Set) readKey(ctx context.Context, name string) (kv backing.KeyValue, own bool, err error) {
 	s.stats.Calls.Add(1)
-	kv, err := s.opts.Store.Get(ctx, keyPrefix+name)
+	kv, err = s.opts.Store.Get(ctx, keyPrefix+name)
 	if errors.Is(err, backing.ErrNotFound) {
-		return 0, false, nil
+		return kv, false, nil
 	}
 	if err != nil {
 		s.stats.Failures.Add(1)
-		return 0, false, err
+		return kv, false, err
 	}
 	var h holderValue
 	if err := json.Unmarshal(kv.Value, &h); err != nil {
-		return 0, false, errors.Wrap(err, "decode shard")
+		return kv, false, errors.Wrap(err, "decode shard")
 	}
-	owned := h.Host == s.opts.Host && h.Incarnation == s.opts.Incarnation && kv.Lease == id
-	return kv.Revision, owned, nil
+	return kv, h.Host == s.opts.Host && h.Incarnation == s.opts.Incarnation, nil
 }
 
 // relinquish stops using a shard that another host should hold, and releases it
@@ -150,11 +161,11 @@
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Settings.CallTimeout)
 	defer cancel()
 	expired := time.Since(sent) > s.opts.Settings.TTL
-	revision, owned, err := s.readKey(ctx, name, id)
+	kv, own, err := s.readKey(ctx, name)
 	switch {
 	case err != nil:
-	case owned:
-		s.addShard(name, revision, id)
+	case own && kv.Lease == id:
+		s.addShard(name, kv.Revision, id)
 	case expired:
 		s.removePendingCreate(name)
 	}
--- a/internal/lease/fault_test.go
+++ b/internal/lease/fault_test.go
@@ -112,3 +112,30 @@
 		cluster.store.Close()
 	})
 }
+
+// Guards against a shard that nobody holds for a term, since its key stands under a lease that
+// its holder has lost in a restoration of the store.
+func TestHolderMovesItsKeyToNewLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cluster := newTestCluster(2, "p")
+		defer cluster.store.Close()
+		cluster.waitUntil(t, func() bool { return len(cluster.holders("p")) == 1 })
+		holder := cluster.hostNamed(cluster.holders("p")[0])
+		fence, _, _ := holder.set.Held("p")
+		holder.set.dropLease(holder.set.lease)
+		is.Equal(len(cluster.holders("p")), 0)
+		holder.set.Step(t.Context())
+		is.Equal(cluster.holders("p"), []string{holder.name})
+		again, _, _ := holder.set.Held("p")
+		is.True(again > fence)
+		time.Sleep(DefaultSettings().TTL) // the lost lease ends, and takes no key along
+		holder.set.Step(t.Context())
+		_, err := holder.client.Get(t.Context(), keyPrefix+"p")
+		is.NoErr(err)
+		next := New(Options{Host: holder.name, Incarnation: "2", Store: holder.client, Settings: DefaultSettings(), Shards: holder.set.opts.Shards, Preferred: holder.set.opts.Preferred, WriteTokens: holder.set.opts.WriteTokens, Log: holder.set.opts.Log})
+		next.Step(t.Context())
+		_, _, ok := next.Held("p")
+		is.True(!ok) // another process of the host takes no key over
+	})
+}
