endpoint: an endpoint that left does not come back with the registry's copy

Only endpoints that had been draining were remembered.

Cause: an entry of a later era counts as newer, and the copy's entries are entries of the later era.

Change: incarnations whose entries were removed or replaced are remembered for a minute. In a later era their entry counts once it is written after it appeared, or after that minute: an endpoint that was only silent is back then.

Both tests fail without the question; seen.

--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -12,7 +12,9 @@
 //
 // Listings and watches of the registry may be delivered in any order, so an
 // entry is applied only if it is not older than the known revision of its ID.
-// An incarnation that has been draining never accepts work again. An endpoint
+// An incarnation that has been draining never accepts work again. One that left, or that
+// another replaced, does not come back with the copy from which the registry is restored;
+// see fromCopy. An endpoint
 // whose entry is missing is removed, except during an outage of the registry
 // and the settling delay after it: entries expire then although their endpoints
 // are alive.
@@ -28,6 +30,8 @@
 	// to the time at which it was last in the registry. versions is the latest known revision of each ID.
 	drained  map[Key]time.Time
 	versions map[string]entryVersion
+	// gone holds the incarnations whose entries were removed or replaced.
+	gone map[Key]*departure
 	// missing holds the IDs of endpoints whose entries went missing in an
 	// outage. They are removed unless they are listed again within the settling
 	// delay.
@@ -36,6 +40,8 @@
 	// time at which it became readable again.
 	unavailable bool
 	recoveredAt time.Time
+	// era is the latest era of the registry seen.
+	era int64
 	// listedAt is the time of the latest listing.
 	listedAt time.Time
 }
@@ -48,6 +54,15 @@
 	updatedAt time.Time
 }
 
+// departure is the end of an incarnation's entry.
+type departure struct {
+	at time.Time
+	// era is the era of the registry in which the entry ended. copied is the revision with
+	// which it appeared in a later one; 0 if it has not.
+	era    int64
+	copied backing.Revision
+}
+
 // tombstoneTTL is how long a removed endpoint is remembered. It exceeds the
 // duration of any drain and any read.
 const tombstoneTTL = time.Minute
@@ -60,7 +75,7 @@
 func NewSet(settlingDelay time.Duration) *Set {
 	return &Set{
 		settlingDelay: settlingDelay, byService: make(map[string][]*Endpoint), byID: make(map[string]*Endpoint),
-		drained: make(map[Key]time.Time), versions: make(map[string]entryVersion), missing: make(map[string]bool),
+		drained: make(map[Key]time.Time), versions: make(map[string]entryVersion), missing: make(map[string]bool), gone: make(map[Key]*departure),
 	}
 }
 
@@ -182,7 +197,7 @@
 
 // put applies an entry. The caller holds mu.
 func (s *Set) put(now time.Time, e *Endpoint, change *Change) {
-	if e.Revision < s.versions[e.ID].revision {
+	if e.Revision < s.versions[e.ID].revision || s.fromCopy(now, e) {
 		return
 	}
 	s.versions[e.ID] = entryVersion{e.Revision, now}
@@ -203,6 +218,7 @@
 	case old.Key() != e.Key():
 		change.Added = append(change.Added, e)
 		change.Replaced = append(change.Replaced, old)
+		s.gone[old.Key()] = &departure{at: now, era: e.Revision.Era()}
 	case old.Stage != e.Stage:
 		change.StageChanged = append(change.StageChanged, e)
 	}
@@ -218,6 +234,25 @@
 	}
 	delete(s.byID, old.ID)
 	change.Removed = append(change.Removed, old)
+	s.gone[old.Key()] = &departure{at: now, era: s.era}
+}
+
+// fromCopy reports whether an entry is one that had ended before the registry was restored,
+// and was not written since it appeared again. The caller holds mu.
+func (s *Set) fromCopy(now time.Time, e *Endpoint) bool {
+	s.era = max(s.era, e.Revision.Era())
+	d := s.gone[e.Key()]
+	if d == nil || e.Revision.Era() <= d.era {
+		return false
+	}
+	if d.copied == 0 {
+		d.copied = e.Revision
+	}
+	if e.Revision > d.copied || now.Sub(d.at) > tombstoneTTL {
+		delete(s.gone, e.Key())
+		return false
+	}
+	return true
 }
 
 // rebuild rebuilds the index by service and drops expired tombstones. The
@@ -236,6 +271,11 @@
 			delete(s.drained, key)
 		}
 	}
+	for key, d := range s.gone {
+		if now.Sub(d.at) > tombstoneTTL {
+			delete(s.gone, key)
+		}
+	}
 	for id, last := range s.versions {
 		if now.Sub(last.updatedAt) > tombstoneTTL {
 			delete(s.versions, id)
--- a/internal/endpoint/set_test.go
+++ b/internal/endpoint/set_test.go
@@ -286,3 +286,51 @@
 	}
 	is.New(t).True(drainedTTL > tombstoneTTL)
 }
+
+func inEra(t *testing.T, era, number int64) backing.Revision {
+	t.Helper()
+	r, err := backing.NewRevision(era, number)
+	is.New(t).NoErr(err)
+	return r
+}
+
+// Guards against endpoints that left, or were replaced, and are used again since the registry
+// was restored from a copy that has their entries.
+func TestEndpointThatLeftDoesNotReturnWithCopy(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settlingDelay)
+	older, newer := newEngineAt("b", inEra(t, 1, 6)), newEngineAt("b", inEra(t, 1, 12))
+	older.StartedAtMS, newer.StartedAtMS = 100, 200
+	s.Replace(start, inEra(t, 1, 10), []*Endpoint{newEngineAt("a", inEra(t, 1, 5)), older, newEngineAt("c", inEra(t, 1, 7))})
+	s.Remove(start, "a", inEra(t, 1, 11))
+	s.Put(start, newer)
+	is.Equal(endpointIDs(s), "bc")
+	s.RegistryFailed()
+	copied := func(number int64) []*Endpoint {
+		again := newEngineAt("b", inEra(t, 2, 6))
+		again.StartedAtMS = 100
+		return []*Endpoint{newEngineAt("a", inEra(t, 2, number)), again, newEngineAt("c", inEra(t, 2, 7))}
+	}
+	for range 2 {
+		s.Replace(start, inEra(t, 2, 8), copied(5))
+		is.Equal(endpointIDs(s), "bc")
+		is.Equal(s.Get("b").StartedAtMS, int64(200))
+	}
+	s.Replace(start, inEra(t, 2, 9), copied(9)) // written since: it lives
+	is.Equal(endpointIDs(s), "abc")
+}
+
+// Guards against endpoints that stay away for ever: their entries were removed in a silence.
+func TestEndpointOfCopyReturnsAfterWhile(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(settlingDelay)
+	s.Replace(start, inEra(t, 1, 10), []*Endpoint{newEngineAt("a", inEra(t, 1, 5))})
+	s.Remove(start, "a", inEra(t, 1, 11))
+	s.Put(start, newEngineAt("a", inEra(t, 1, 12))) // in the same era it is back at once
+	is.Equal(endpointIDs(s), "a")
+	s.Remove(start, "a", inEra(t, 1, 13))
+	s.Put(start, newEngineAt("a", inEra(t, 2, 5)))
+	is.Equal(endpointIDs(s), "")
+	s.Put(start.Add(tombstoneTTL+time.Second), newEngineAt("a", inEra(t, 2, 5)))
+	is.Equal(endpointIDs(s), "a")
+}
