--- a/internal/leader/usage.go
+++ b/internal/leader/usage.go
@@ -273,7 +273,7 @@
 
 // errMayBeReported means that a window may have been reported before the store lost its
 // final counts. Others must not be reported.
-var errMayBeReported = errors.New("may have been reported before the store was restored")
+var errMayBeReported = errors.New("may have been reported in an era of the store before this one")
 
 // eraClockMargin covers what clocks of hosts differ by when an era begins.
 const eraClockMargin = time.Second
