--- a/internal/backing/era.go
+++ b/internal/backing/era.go
@@ -34,8 +34,10 @@
 	return Revision(era<<eraShift | number), nil
 }
 
-// Era returns the era of the revision, Number what the store gave in it.
-func (r Revision) Era() int64    { return int64(r) >> eraShift }
+// Era returns the era of the revision.
+func (r Revision) Era() int64 { return int64(r) >> eraShift }
+
+// Number returns what the store gave in the revision's era.
 func (r Revision) Number() int64 { return int64(r) & (1<<eraShift - 1) }
 
 // EraSource is a store that may come back from an older copy of itself. Its era rises by one
