leader: a host that led knows it though the store has lost it

What could happen (by reading and by test): two hosts lead in turn within lease_ms after a restoration, since the history of leaders from which a returning one knows that it must wait was lost with the copy.

Change: a process that led adds itself to a history that lacks it, as the first. If another is behind it, it waits; if none is, it goes on at once.

TestLeaderKnowsThatItLedThoughHistoryIsLost fails without it; seen.

--- a/internal/leader/era_test.go
+++ b/internal/leader/era_test.go
@@ -110,6 +110,26 @@
 	})
 }
 
+// Guards against leaders that take turns faster than they may since the store has lost who led.
+func TestLeaderKnowsThatItLedThoughHistoryIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := kv.New(kv.Options{})
+		defer store.Close()
+		copied := store.Copy()
+		leases := &fakeLease{fence: 5, ok: true}
+		a := newTestRunner(leases, &fakeEngines{}, &fakeReporter{accepted: make(map[int64]Counts)}, store.Client("a"))
+		a.step(t.Context())
+		store.Restore(copied)
+		is.Equal(a.recordLeader(t.Context()), time.Duration(0)) // nobody led between
+		store.Restore(copied)
+		b := newTestRunner(leases, &fakeEngines{}, &fakeReporter{accepted: make(map[int64]Counts)}, store.Client("b"))
+		b.opts.Host = "b"
+		is.Equal(b.recordLeader(t.Context()), time.Duration(0))
+		is.Equal(a.recordLeader(t.Context()), 3*time.Second)
+	})
+}
+
 // Guards against counts that a restored store has lost and nobody writes again: they would be
 // gone with their host.
 func TestCountsAreWrittenAgainToRestoredStore(t *testing.T) {
--- a/internal/leader/history.go
+++ b/internal/leader/history.go
@@ -53,6 +53,9 @@
 			return 0, errors.Wrap(err, "decode leader history")
 		}
 	}
+	if r.led && !slices.Contains(history, r.opts.Host) {
+		history = slices.Insert(history, 0, r.opts.Host) // lost with the copy of a restored store
+	}
 	delay := time.Duration(0)
 	if mustDelay(history, r.opts.Host) {
 		delay = r.opts.ReturnDelay
--- a/internal/leader/runner.go
+++ b/internal/leader/runner.go
@@ -81,6 +81,8 @@
 	fence int64
 	// acquired is the time at which this host acquired the lease.
 	acquired lease.Instant
+	// led is set once this process was the leader.
+	led bool
 	// delay is the time from acquired until the host may act.
 	delay time.Duration
 	// rejectedFence is the fencing token that was rejected because of a later
@@ -130,6 +132,7 @@
 	}
 	if fence != r.fence {
 		r.fence, r.acquired, r.delay = fence, now, r.recordLeader(ctx)
+		r.led = true
 		r.usage.tookLead()
 		r.opts.Log.Info("duties taken", observe.FieldFence, fence, "wait_ms", r.delay)
 	}
