catalog, host, peer: only a version of an earlier era withdraws a configuration

What could happen (by reading the change; by test): within one era, an operator goes back to a lower version; a host that has read it withdraws it, answering 503, since a peer that lags behind still tells of the higher one.

Cause: the rule compared where a peer had last read the store, not where it had taken its configuration.

Change: hosts tell that revision too (catalog_revision); only one of an earlier era counts.

The new cases of TestVersionOlderThanKnownElsewhereIsWithdrawn (one that the operator took back, a host that does not tell) are new with the interface and were not run on the code before.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -79,19 +79,26 @@
 	return true
 }
 
-// Require records that another host has had a version though it had read the store no later
-// than this host. An older one is withdrawn: the store had it from a copy. It reports
-// whether that was so.
-func (c *Cache) Require(version int64, read backing.Revision) bool {
+// Taken returns the version and the store revision of the current catalog; 0 for none.
+func (c *Cache) Taken() (version int64, revision backing.Revision) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.current == nil {
+		return 0, 0
+	}
+	return c.current.Version, c.taken
+}
+
+// Require records that another host took a version in an earlier era of the store than this
+// host took its own. If that is older, it is withdrawn: the store had it from a copy. It
+// reports whether that was so.
+func (c *Cache) Require(version int64, taken backing.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision == 0 || read > c.revision || version <= c.required {
-		return false
-	}
-	c.required = version
-	if c.current == nil || c.current.Version >= version {
+	if c.current == nil || taken == 0 || taken.Era() >= c.taken.Era() || c.current.Version >= version {
 		return false
 	}
+	c.required = max(c.required, version)
 	c.current, c.taken, c.confirmed, c.behind = nil, 0, false, true
 	return true
 }
--- a/internal/catalog/cache_test.go
+++ b/internal/catalog/cache_test.go
@@ -113,7 +113,9 @@
 	is.True(!cache.Require(13, inEra(t, 1, 90))) // nothing is read yet
 	is.True(cache.Update(inEra(t, 2, 58), newCatalog(11)))
 	cache.Confirm(inEra(t, 2, 58), clock.Now())
-	is.True(!cache.Require(12, inEra(t, 2, 59))) // read later: a newer version, which will be read
+	is.True(!cache.Require(12, inEra(t, 2, 59))) // a newer one, which will be read
+	is.True(!cache.Require(12, inEra(t, 2, 50))) // one that the operator took back
+	is.True(!cache.Require(12, 0))               // of a host that does not tell
 	is.True(cache.Fresh())
 	is.True(cache.Require(13, inEra(t, 1, 90)))
 	is.True(cache.Current() == nil)
--- a/internal/endpoint/set.go
+++ b/internal/endpoint/set.go
@@ -14,10 +14,9 @@
 // entry is applied only if it is not older than the known revision of its ID.
 // An incarnation that has been draining never accepts work again. One that left, or that
 // another replaced, does not come back with the copy from which the registry is restored;
-// see fromCopy. An endpoint
-// whose entry is missing is removed, except during an outage of the registry
-// and the settling delay after it: entries expire then although their endpoints
-// are alive.
+// see fromCopy. An endpoint whose entry is missing is removed, except during an outage of
+// the registry and the settling delay after it: entries expire then although their
+// endpoints are alive.
 type Set struct {
 	// settlingDelay is how long after an outage endpoints with missing entries
 	// are retained.
--- a/internal/host/era.go
+++ b/internal/host/era.go
@@ -30,7 +30,8 @@
 	if before == 0 {
 		return
 	}
-	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, int64(h.catalog.Revision()), "config_version", h.catalogVersion())
+	version, _ := h.catalog.Taken()
+	h.opts.Log.Warn("store restored", "era", now, "era_before", before, observe.FieldRevision, int64(h.catalog.Revision()), "config_version", version)
 	notice := leader.EraNotice{Era: now, At: h.medianClock.Now(), Led: h.isLeader()}
 	h.mu.Lock()
 	h.eraNotice = notice
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -13,11 +13,13 @@
 func (h *Host) versionReports() peer.VersionReports {
 	configAge, configKnown := h.catalog.Age()
 	endpointsAge, endpointsKnown := h.registry.age()
+	version, taken := h.catalog.Taken()
 	return peer.VersionReports{
-		WatchesStore:   endpointsKnown && !h.endpointPoller.failing.Load() && !h.termination.Stopping() && h.watchesStore(),
-		Config:         versionReport(uint64(h.catalog.Revision()), configAge, configKnown && !h.catalog.Behind()), //nolint:gosec // a revision is not negative
-		CatalogVersion: h.catalogVersion(),
-		Endpoints:      versionReport(h.registry.view.Sum(), endpointsAge, endpointsKnown),
+		WatchesStore:    endpointsKnown && !h.endpointPoller.failing.Load() && !h.termination.Stopping() && h.watchesStore(),
+		Config:          versionReport(uint64(h.catalog.Revision()), configAge, configKnown && !h.catalog.Behind()), //nolint:gosec // a revision is not negative
+		CatalogVersion:  version,
+		CatalogRevision: taken,
+		Endpoints:       versionReport(h.registry.view.Sum(), endpointsAge, endpointsKnown),
 	}
 }
 
@@ -57,14 +59,6 @@
 	return watchers
 }
 
-// catalogVersion returns the version of the configuration in force; 0 for none.
-func (h *Host) catalogVersion() int64 {
-	if current := h.catalog.Current(); current != nil {
-		return current.Version
-	}
-	return 0
-}
-
 // receiveVersionReports records a peer's version reports and triggers a read if the
 // peer has a newer configuration. It confirms nothing, because the message may have
 // been in flight for any time.
@@ -76,7 +70,7 @@
 	if read > h.catalog.Revision() {
 		h.configPoller.Trigger()
 	}
-	if version := s.Versions.CatalogVersion; h.catalog.Require(version, read) {
+	if version := s.Versions.CatalogVersion; h.catalog.Require(version, s.Versions.CatalogRevision) {
 		h.opts.Log.Warn("configuration withdrawn", observe.FieldPeer, s.Host, "config_version", version)
 		h.configPoller.Trigger()
 	}
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -106,10 +106,12 @@
 	// and its reads succeed.
 	WatchesStore bool
 	// Config reports the configuration; its version is the store revision of the last
-	// read. CatalogVersion is the configuration's own version, which the store may have
-	// lost; 0 if there is none.
-	Config         VersionReport
-	CatalogVersion int64
+	// read. CatalogVersion is the own version of the configuration in force, and
+	// CatalogRevision where it was read: the store may have lost it. They are 0 if there is
+	// none.
+	Config          VersionReport
+	CatalogVersion  int64
+	CatalogRevision backing.Revision
 	// Endpoints reports the endpoint registry; its version is a checksum of the
 	// entries' keys and revisions.
 	Endpoints VersionReport
