--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -41,7 +41,7 @@
 // the host itself.
 var stateChanges = []string{
 	"configuration in force", "endpoint added", "endpoint leaves", "endpoint stated that it leaves", "endpoint changed its stage", "stage ordered",
-	"dependency lost", "dependency regained", "store restored", "configuration in the store is older", "peer lost", "peer regained", "peer left", "draining", "drained", "refusing requests", "closing connections", "start", "stop",
+	"dependency lost", "dependency regained", "store restored", "configuration in the store is older", "configuration withdrawn", "peer lost", "peer regained", "peer left", "draining", "drained", "refusing requests", "closing connections", "start", "stop",
 	observe.MessageLinesDropped, "engine crashed under requests",
 }
 
