httpdrain: the tests of delivery begin the stop before the request

Beside load the server had answered and closed the connection by then, rightly without waiting. No check or bound changes.

--- a/internal/httpdrain/delivery_test.go
+++ b/internal/httpdrain/delivery_test.go
@@ -59,10 +59,10 @@
 			is := is.New(t)
 			server, tracker, l, answered := longServer(t)
 			c := dialSmall(t, l.Addr().String())
-			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+extra)
-			is.NoErr(err)
 			plan := termination.NewPlan(time.Now(), time.Minute)
 			tracker.DeliverUntil(plan.Close)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+extra)
+			is.NoErr(err)
 			for answered.Load() == 0 {
 				time.Sleep(time.Millisecond)
 			}
@@ -88,10 +88,10 @@
 	is := is.New(t)
 	server, tracker, l, answered := longServer(t)
 	c := dialSmall(t, l.Addr().String())
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	is.NoErr(err)
 	plan := termination.NewPlan(time.Now(), time.Second)
 	tracker.DeliverUntil(plan.Close)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
 	for answered.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -106,10 +106,10 @@
 	is := is.New(t)
 	server, tracker, l, answered := longServer(t)
 	c := dialSmall(t, l.Addr().String())
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	is.NoErr(err)
 	plan := termination.NewPlan(time.Now(), time.Minute)
 	tracker.DeliverUntil(plan.Close)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
 	for answered.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
