httpdrain: an answer given up at the plan's close counts as cut

Cause: two waits end at the same moment. Close of a connection waits for its delivery until plan.Close and then removes the connection; Finish counts the connections that are left when the context of plan.Close ends. Whichever wakes last decides the count: beside load the context's timer is late, the connection is gone, and nothing is counted.

A connection that is given up with undelivered bytes is now moved from the tracked ones to the cut ones in one critical section, and Finish reads both in one, so that it is counted once whichever comes first. The bounds are as they were.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -118,8 +118,8 @@
 // Close implements net.Conn. During a stop, the first one waits for the delivery of what was
 // written; see Tracker.DeliverUntil. Another one meanwhile does not.
 func (c *conn) Close() error {
-	if until := c.tracker.deliverUntil.Load(); until != nil && c.closing.CompareAndSwap(false, true) {
-		c.awaitDelivery(*until)
+	if until := c.tracker.deliverUntil.Load(); until != nil && c.closing.CompareAndSwap(false, true) && c.awaitDelivery(*until) {
+		c.tracker.removeCut(c)
 	}
 	c.tracker.remove(c)
 	return c.Conn.Close()
--- a/internal/httpdrain/delivery.go
+++ b/internal/httpdrain/delivery.go
@@ -24,14 +24,18 @@
 	return ok
 }
 
-// awaitDelivery waits until what was written is acknowledged. Connections that the handler
-// has taken over are not waited for.
-func (c *conn) awaitDelivery(until time.Time) {
+// awaitDelivery waits until what was written is acknowledged, and reports whether it was not
+// in time. Connections that the handler has taken over are not waited for.
+func (c *conn) awaitDelivery(until time.Time) (undelivered bool) {
 	connection, ok := c.Conn.(syscall.Conn)
 	if !ok || !c.tracker.tracks(c) {
-		return
+		return false
 	}
-	for time.Now().Before(until) && sockopt.Undelivered(connection) {
+	for sockopt.Undelivered(connection) {
+		if !time.Now().Before(until) {
+			return true
+		}
 		time.Sleep(deliveryPollInterval)
 	}
+	return false
 }
--- a/internal/httpdrain/delivery_test.go
+++ b/internal/httpdrain/delivery_test.go
@@ -101,6 +101,23 @@
 	is.True(!time.Now().Before(plan.Close))
 }
 
+// Guards against an answer that was given up just before the stop counts and so is missing from its account.
+func TestShutDownCountsAnswersThatWereGivenUpBefore(t *testing.T) {
+	is := is.New(t)
+	server, tracker, l, answered := longServer(t)
+	c := dialSmall(t, l.Addr().String())
+	plan := termination.NewPlan(time.Now(), time.Minute)
+	tracker.DeliverUntil(time.Now().Add(200 * time.Millisecond))
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	for answered.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cut, err := tracker.ShutDown(context.Background(), server, l, termination.NewState(), plan)
+	is.NoErr(err)
+	is.Equal(cut, 1)
+}
+
 // Guards against a stop that waits for callers that have closed their connection.
 func TestShutDownDoesNotWaitForCallersThatLeft(t *testing.T) {
 	is := is.New(t)
--- a/internal/httpdrain/shutdown.go
+++ b/internal/httpdrain/shutdown.go
@@ -16,7 +16,7 @@
 // ShutDown ends the server so that each request that it has read is answered. It refuses new
 // requests and closes the listener; waits for those in progress or arriving, and interrupts
 // them at the plan's end; ends the connections; and closes those that are left at plan.Close.
-// It returns how many these were. The handler must ask the state before it begins a request.
+// It returns how many these were, with those closed before with answers undelivered. The handler must ask the state before it begins a request.
 func (t *Tracker) ShutDown(ctx context.Context, server *http.Server, l net.Listener, state *termination.State, plan termination.Plan) (cut int, err error) {
 	state.Close()
 	_ = l.Close()
--- a/internal/httpdrain/tracker.go
+++ b/internal/httpdrain/tracker.go
@@ -19,8 +19,10 @@
 	// deliverUntil is the time of DeliverUntil; nil before the stop.
 	deliverUntil atomic.Pointer[time.Time]
 
-	mu    sync.Mutex // guards conns
+	mu    sync.Mutex // guards conns and cut
 	conns map[net.Conn]http.ConnState
+	// cut is the number of connections that were closed with answers undelivered.
+	cut int
 }
 
 // Track makes the server report the states of its connections, and when its handler has
@@ -49,6 +51,17 @@
 	delete(t.conns, c)
 }
 
+// removeCut removes a connection whose answers are not delivered, so that Finish counts it
+// once, whichever of the two comes first.
+func (t *Tracker) removeCut(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.conns[c]; ok {
+		delete(t.conns, c)
+		t.cut++
+	}
+}
+
 func (t *Tracker) set(c net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -86,21 +99,25 @@
 }
 
 // Finish ends the connections without a request in progress, waits for the others and for
-// those that are being accepted, and returns how many connections are left when ctx ends. A
-// request that has arrived is answered first. The handler must refuse new requests without
-// reading their bodies; they are waited for while they arrive.
+// those that are being accepted, and returns how many connections are left when ctx ends or
+// were closed with answers undelivered. A request that has arrived is answered first. The
+// handler must refuse new requests without reading their bodies; they are waited for while
+// they arrive.
 func (t *Tracker) Finish(ctx context.Context) int {
 	wait(ctx, func() bool {
 		accepting := t.accepting.Load()
-		return t.endReading() == 0 && accepting == 0
+		left, _ := t.endReading()
+		return left == 0 && accepting == 0
 	})
-	return t.endReading()
+	left, cut := t.endReading()
+	return left + cut
 }
 
 // endReading ends the reading of connections without a request in progress, and of those
 // whose request is answered and whose body does not come. The server closes them itself,
-// after the answer to what it has read. It returns the number of connections.
-func (t *Tracker) endReading() int {
+// after the answer to what it has read. It returns the number of connections, and of those
+// that were closed with answers undelivered.
+func (t *Tracker) endReading() (left, cut int) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,7 +131,7 @@
 		}
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
-	return len(t.conns)
+	return len(t.conns), t.cut
 }
 
 func wait(ctx context.Context, done func() bool) {
