gateway, agent: an answer that ends with its connection is whole only while its sender runs

Cause: the kernel closes the connections of a killed process like those of one that has answered, so io.EOF was taken for the end. The host could know better: a connection to the process is refused at once. For streams it even asked, after the caller had been told, for the evidence on crashes alone.

Now the reader asks before it believes the end of such an answer (framing.ConfirmSender, for 150 ms at most), at the gateway for streams, plain answers and errors, and at agents for services. If connections are refused the answer has broken off, with what follows from that: resumed, sent again, 502, or no last chunk. An endpoint that is known to leave is not asked, since it closes its listener before its last answers end. Answers with a length or chunks are as before.

The new tests fail without the change in each path.

--- a/internal/backing/call_http.go
+++ b/internal/backing/call_http.go
@@ -32,6 +32,9 @@
 	sender  string
 	// maxBytes is the maximum size of a response body.
 	maxBytes int64
+	// confirmSender makes an answer that ends with its connection fail if the process has
+	// ended.
+	confirmSender bool
 }
 
 // NewCaller returns a Caller for the service at a base URL. If client is nil, it
@@ -136,7 +139,11 @@
 		return response{}, c.handleTransportError(sent, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(held.reservation.NewReader(framing.NewBody(resp, sent.unannouncedClose)), c.maxBytes+1))
+	whole := framing.NewBody(resp, sent.unannouncedClose)
+	if c.confirmSender {
+		whole = framing.ConfirmSender(whole, framing.Of(resp), func() bool { return c.ended(req.Context()) })
+	}
+	body, err := io.ReadAll(io.LimitReader(held.reservation.NewReader(whole), c.maxBytes+1))
 	if err == nil && int64(len(body)) > c.maxBytes {
 		err = ErrTooLong
 	}
--- a/internal/backing/engine_http.go
+++ b/internal/backing/engine_http.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,29 +53,9 @@
 	return e.caller.postJSON(ctx, cancelTimeout, "/v1/cancel", CancelRequest{ID: id}, nil)
 }
 
-// ErrEnded reports that no process accepts connections at an address.
-var ErrEnded = errors.New("no process accepts connections")
-
 // Probe opens a connection to the engine and sends nothing. It returns ErrEnded if the
 // engine's process has ended.
-func (e *HTTPEngine) Probe(ctx context.Context) error {
-	base, err := url.Parse(e.caller.base)
-	if err != nil {
-		return errors.Wrap(ErrRejected, err.Error())
-	}
-	address := base.Host
-	if base.Port() == "" {
-		address = net.JoinHostPort(base.Hostname(), base.Scheme)
-	}
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return ErrEnded
-	}
-	if err != nil {
-		return errors.Wrap(ErrUnavailable, err.Error())
-	}
-	return errors.Wrap(conn.Close(), "probe")
-}
+func (e *HTTPEngine) Probe(ctx context.Context) error { return e.caller.probe(ctx) }
 
 // Load implements Engine.
 func (e *HTTPEngine) Load(ctx context.Context) (EngineLoad, error) {
--- a/internal/backing/service_http.go
+++ b/internal/backing/service_http.go
@@ -37,7 +37,7 @@
 // client is nil, it uses a client with NewTransport.
 func NewHTTPService(base string, client *http.Client, options ...Option) *HTTPService {
 	caller := NewCaller(base, client, append([]Option{WithMaxAnswer(maxServiceBodyBytes)}, options...)...)
-	caller.client = noReuseClient(caller.client)
+	caller.client, caller.confirmSender = noReuseClient(caller.client), true
 	return &HTTPService{caller: caller}
 }
 
--- a/internal/backing/truncation_test.go
+++ b/internal/backing/truncation_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/acacialink/acacialink/internal/backing"
 )
@@ -152,3 +153,29 @@
 	is.NoErr(call(closeConn))
 	is.True(call(func(c net.Conn) { c.(*tls.Conn).NetConn().Close() }) != nil)
 }
+
+// Guards against parts of answers that are taken for whole ones when their service is killed.
+func TestAnswerCutByEndOfItsServiceIsNotTakenAsWhole(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		is := is.New(t)
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer l.Close()
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if ended {
+				l.Close()
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, responseHead("Connection: close\r\n")+"half an answer")
+			}
+		}()
+		_, err = backing.NewHTTPService("http://"+l.Addr().String(), nil).Call(t.Context(), paymentRequest("1"))
+		is.Equal(err != nil, ended)
+		is.Equal(errors.Is(err, backing.ErrUnknown), ended)
+	}
+}
--- a/internal/framing/ending.go
+++ b/internal/framing/ending.go
@@ -13,6 +13,8 @@
 	ErrEmpty = errors.New("the answer is empty")
 	// ErrInsideEvent reports a stream that ended inside an event.
 	ErrInsideEvent = errors.New("the stream ended inside an event")
+	// ErrSenderEnded reports a connection that closed because its sender's process ended.
+	ErrSenderEnded = errors.New("the sender ended under its answer")
 )
 
 // Ending is how the reading of a body ended.
--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -122,27 +122,18 @@
 	})
 }
 
+// ended reports whether the endpoint's process has ended, though it was not to leave: one
+// that leaves stops accepting connections before its last answers end.
+func (g *Gateway) ended(ctx context.Context, e *endpoint.Endpoint) bool {
+	return g.opts.Endpoints.Get(e.ID) != nil && errors.Is(g.probe(ctx, e), ErrEndpointDown)
+}
+
 // recordAnswered records that an engine began an answer at the given time and did not
-// crash. If the answer ended with its connection, a crash may have ended it behind an
-// event, so the engine is probed first; the caller does not wait for that.
-func (req *request) recordAnswered(ctx context.Context, e *endpoint.Endpoint, job *placement.Job, begun time.Time, closed bool) {
-	if begun.IsZero() {
-		return
-	}
-	ledger, service, segments := req.gateway.opts.Suspects, req.service.Name, job.SharedSegments()
-	if !closed {
-		ledger.Answered(time.Now(), e.Key(), service, segments, begun)
-		return
+// crash.
+func (req *request) recordAnswered(e *endpoint.Endpoint, job *placement.Job, begun time.Time) {
+	if !begun.IsZero() {
+		req.gateway.opts.Suspects.Answered(time.Now(), e.Key(), req.service.Name, job.SharedSegments(), begun)
 	}
-	gateway, ended := req.gateway, time.Now()
-	go func() {
-		if !errors.Is(gateway.probe(ctx, e), ErrEndpointDown) {
-			ledger.Answered(ended, e.Key(), service, segments, begun)
-			return
-		}
-		ledger.Lost(ended, e.Key(), service, segments, begun)
-		ledger.Crashed(ended, e.Key())
-	}()
 }
 
 // codeSegmentHeld is the code of a request that is held back for one of its segments.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/acacialink/acacialink/internal/catalog"
 	"github.com/acacialink/acacialink/internal/endpoint"
+	"github.com/acacialink/acacialink/internal/framing"
 	"github.com/acacialink/acacialink/internal/verdict"
 )
 
@@ -119,6 +120,7 @@
 	}
 	req.possibleRuns++
 	req.gateway.opts.Metrics.Sends.Add("answered", 1)
+	reply.Body = framing.ConfirmSender(reply.Body, reply.Framing, func() bool { return req.gateway.ended(ctx, dispatch.Endpoint) })
 	return reply, nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -328,17 +328,17 @@
 // stalls is canceled, if the stream can be resumed elsewhere. predicted is the
 // predicted time to the first event.
 func (req *request) runGeneration(ctx context.Context, dispatch *Dispatch, flight *placement.Flight, job *placement.Job, out *eventWriter, predicted time.Duration) error {
-	out.begun, out.closed, out.lastAt = time.Time{}, false, time.Now()
+	out.begun, out.lastAt = time.Time{}, time.Now()
 	out.began = func() {
 		req.gateway.opts.Suspects.Began(out.begun, dispatch.Endpoint.Key(), req.service.Name, job.SharedSegments())
 	}
-	out.lasted = func() { req.recordAnswered(ctx, dispatch.Endpoint, job, out.begun, false) }
+	out.lasted = func() { req.recordAnswered(dispatch.Endpoint, job, out.begun) }
 	err := req.attemptGeneration(ctx, dispatch, flight, job, out, predicted)
 	out.silent = time.Since(out.lastAt)
 	switch {
 	case err == nil:
-		if out.lasted != nil || out.closed {
-			req.recordAnswered(ctx, dispatch.Endpoint, job, out.begun, out.closed)
+		if out.lasted != nil {
+			req.recordAnswered(dispatch.Endpoint, job, out.begun)
 		}
 	case ctx.Err() != nil || out.failed:
 		req.recordLeft(dispatch.Endpoint, job, out.begun, out.lastAt)
@@ -446,8 +446,6 @@
 	// lasted is called once the current attempt's answer has lasted for a while; nil
 	// after that.
 	lasted func()
-	// closed is set if the current attempt's answer ends with its connection.
-	closed bool
 	// stall ends the current attempt when it makes no progress; nil for no watch.
 	stall *stallWatch
 }
@@ -473,7 +471,6 @@
 	ending := framing.Ending{Framing: reply.Framing}
 	resumed := w.lastID != ""
 	relayed := 0
-	w.closed = reply.Framing == framing.Connection
 	for ending.Err == nil {
 		var n int
 		n, ending.Err = events.Fill(reply.Body)
