pace, placement, gateway, host: endpoints that want nothing for a time get nothing

It is decoded with the other statements, and the pause is kept beside stated rates, in the one condition that each selection of an endpoint asks: runs, prefills, decode halves, resumptions, repeats and calls. Callers are refused at once (endpoint_paused, not run) with the time at which the first endpoint returns, spread over as long again.

--- a/internal/endpoint/statement.go
+++ b/internal/endpoint/statement.go
@@ -1,5 +1,7 @@
 package endpoint
 
+import "time"
+
 // Statement is what a response states about its endpoint.
 type Statement struct {
 	// PerSecond is the rate of requests that the endpoint takes from all hosts together;
@@ -10,4 +12,8 @@
 	// statement makes no sense.
 	Leaving    bool
 	LeavingErr error
+	// Pause is the time from the response on in which the endpoint wants nothing from this
+	// host; 0 if it states none. PauseErr is set instead if the time makes no sense.
+	Pause    time.Duration
+	PauseErr error
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,7 +40,7 @@
 // stateChanges are the messages that report a change of a host's cached state or of
 // the host itself.
 var stateChanges = []string{
-	"configuration in force", "endpoint added", "endpoint leaves", "endpoint stated that it leaves", "endpoint changed its stage", "stage ordered",
+	"configuration in force", "endpoint added", "endpoint leaves", "endpoint stated that it leaves", "endpoint stated a pause", "endpoint changed its stage", "stage ordered",
 	"dependency lost", "dependency regained", "store restored", "configuration in the store is older", "configuration withdrawn", "peer lost", "peer regained", "peer left", "draining", "drained", "refusing requests", "closing connections", "start", "stop",
 	observe.MessageLinesDropped, "engine crashed under requests",
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -29,12 +29,23 @@
 	} else {
 		header.Del("Content-Length")
 	}
+	if reply.Status == http.StatusServiceUnavailable {
+		header.Del("Retry-After") // it is meant for this host
+		setRetryAfter(header, req.returnAfter())
+	}
 	req.closeIfStopping()
 	req.headerWritten = true
 	_ = http.NewResponseController(req.writer).SetWriteDeadline(req.deadline.Add(writeMargin))
 	req.writer.WriteHeader(reply.Status)
 }
 
+// setRetryAfter tells a caller when it may return; 0 tells it nothing.
+func setRetryAfter(header http.Header, wait time.Duration) {
+	if wait > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+}
+
 // writeMargin is the time after the request's deadline during which the
 // response may still be written to the caller.
 const writeMargin = 2 * time.Second
@@ -87,8 +98,8 @@
 		req.gateway.opts.Ingress.SetRequestID(header, req.call)
 	}
 	header.Set("Content-Type", "application/json")
-	if failure.Verdict == verdict.NotRun && failure.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
+	if failure.Verdict == verdict.NotRun {
+		setRetryAfter(header, failure.RetryAfter)
 	}
 	req.closeIfStopping()
 	req.writer.WriteHeader(failure.Status)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -131,6 +131,9 @@
 	if req.possibleRuns > 0 && result.Verdict == verdict.NotRun {
 		result.Verdict = verdict.MayHaveRun
 	}
+	if result.RetryAfter > 0 && !untilStated(err) {
+		result.RetryAfter = max(result.RetryAfter, req.returnAfter())
+	}
 	if result.Verdict != verdict.NotRun {
 		result.RetryAfter = 0
 		if result.Status == http.StatusServiceUnavailable || result.Status == http.StatusTooManyRequests {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -61,64 +60,36 @@
 	}
 }
 
-// maxPaceWait bounds the wait of a request for the rate of an endpoint. A short wait costs
-// the caller less than a refusal and a return.
-const maxPaceWait = 200 * time.Millisecond
-
-// planWithinRates places the job. If only the rates that endpoints state leave no place, it
-// waits a short time for one.
+// planWithinRates places the job. If only the rates and pauses that endpoints state leave no
+// place, it waits a short time for one.
 func (req *request) planWithinRates(ctx context.Context, job *placement.Job, out *eventWriter) (*placement.Plan, error) {
-	until := time.Now().Add(min(maxPaceWait, req.remaining()/4))
+	until := time.Now().Add(min(maxStatedWait, req.remaining()/4))
 	for {
 		plan, err := req.plan(job, out)
-		if err == nil || verdict.As(err).Code != codeRateStated {
+		if err == nil || !untilStated(err) {
 			return plan, err
 		}
-		wait := req.paceWait()
+		wait, _ := req.sendWait()
 		if time.Now().Add(wait).After(until) || !backing.Pause(ctx, wait) {
 			return nil, err
 		}
 	}
 }
 
-// decodeEngine selects the decode engine of a prefilled job. If only the rates that the
-// engines state leave none, it waits a short time for one: the prompt has been prefilled.
+// decodeEngine selects the decode engine of a prefilled job. If only the rates and pauses that
+// the engines state leave none, it waits a short time for one: the prompt has been prefilled.
 func (req *request) decodeEngine(ctx context.Context, job *placement.Job, from *endpoint.Endpoint) (*endpoint.Endpoint, bool) {
 	until := time.Now().Add(min(maxDecodeWait, req.remaining()/4))
 	for {
 		endpoints := req.gateway.opts.Endpoints.Service(req.service.Name)
 		engine, ok := req.gateway.opts.Tracker.DecodeEngine(time.Now(), endpoints, job, req.kvCache(), from)
-		wait := req.paceWait()
+		wait, _ := req.sendWait()
 		if ok || wait == 0 || time.Now().Add(wait).After(until) || !backing.Pause(ctx, wait) {
 			return engine, ok
 		}
 	}
 }
 
-// maxDecodeWait bounds the wait of a prefilled request for the rate of a decode engine.
-const maxDecodeWait = 600 * time.Millisecond
-
-// paceWait returns the time until an endpoint of the service takes a request within the
-// rate that it states; 0 if none states one.
-func (req *request) paceWait() time.Duration {
-	return req.gateway.opts.Tracker.PaceWait(time.Now(), req.gateway.opts.Endpoints.Service(req.service.Name), req.excluded)
-}
-
-// noPlace returns the error of a request that no endpoint can take now.
-func (req *request) noPlace() error {
-	wait := req.paceWait()
-	if wait == 0 {
-		return errNoEndpoint()
-	}
-	// Callers return spread over as long again: the rate takes them one after the other.
-	wait = max(busyRetryAfter, wait)
-	wait += time.Duration(rand.Float64() * float64(wait)) //nolint:gosec // not a secret
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRateStated, "the endpoints take no more requests now, as they state").After(wait)
-}
-
-// codeRateStated is the code of a request refused because of the rates that endpoints state.
-const codeRateStated = "endpoint_rate"
-
 // plan places the job. Its error is final: nothing that a repetition could wait
 // for changes before the caller has been told when to return.
 func (req *request) plan(job *placement.Job, out *eventWriter) (*placement.Plan, error) {
@@ -303,6 +274,9 @@
 // block the request.
 func (req *request) releaseCache(plan *placement.Plan, prefilled Prefilled) {
 	gateway, engine := req.gateway, plan.Prefill
+	if gateway.opts.Tracker.Paused(time.Now(), engine) > 0 {
+		return // the cache expires
+	}
 	gateway.opts.Tracker.Called(time.Now(), engine)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/gateway/unreachable.go
+++ b/internal/gateway/unreachable.go
@@ -78,5 +78,5 @@
 // noneLeft reports whether err means that no endpoint can take the request now.
 func noneLeft(err error) bool {
 	code := verdict.As(err).Code
-	return code == codeNoEndpoint || code == codeRateStated
+	return code == codeNoEndpoint || untilStated(err)
 }
--- a/internal/host/rates_test.go
+++ b/internal/host/rates_test.go
@@ -233,7 +233,7 @@
 		most := func() int {
 			sent := 0
 			for range 100 {
-				if x.tracker.PaceWait(time.Now(), []*endpoint.Endpoint{engine}, nil) <= time.Millisecond {
+				if wait, _ := x.tracker.SendWait(time.Now(), []*endpoint.Endpoint{engine}, nil); wait <= time.Millisecond {
 					x.tracker.Called(time.Now(), engine)
 					sent++
 				}
--- a/internal/host/statements.go
+++ b/internal/host/statements.go
@@ -18,6 +18,7 @@
 func (h *Host) endpointStated(e *endpoint.Endpoint, s endpoint.Statement) {
 	h.rateStated(e, s)
 	h.leavingStated(e, s)
+	h.pauseStated(e, s)
 }
 
 // leavingStated stops sending to an endpoint that stated that it leaves. Its entry in the
--- a/internal/placement/least_loaded.go
+++ b/internal/placement/least_loaded.go
@@ -17,7 +17,7 @@
 	var best *endpoint.Endpoint
 	bestScore, ties := 0.0, 0
 	for _, e := range endpoints {
-		if wait, _ := t.paceWait(now, e); exclude[e.ID] || wait > 0 {
+		if wait, _ := t.sendWait(now, e); exclude[e.ID] || wait > 0 {
 			continue
 		}
 		score := t.callScore(now, e)
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -91,8 +91,14 @@
 	}
 }
 
-// paceWait returns the time after which this host may send a request to an endpoint, at
+// sendWait returns the time after which this host may send a request to an endpoint, at
 // most 0 for now, and whether the endpoint states a rate. The caller holds mu.
+func (t *Tracker) sendWait(now time.Time, e *endpoint.Endpoint) (wait time.Duration, limited bool) {
+	wait, limited = t.paceWait(now, e)
+	return max(wait, t.pauses[e.ID].Left(now, e.StartedAtMS)), limited
+}
+
+// paceWait is sendWait by the endpoint's rate alone. The caller holds mu.
 func (t *Tracker) paceWait(now time.Time, e *endpoint.Endpoint) (wait time.Duration, limited bool) {
 	p := t.paced[e.ID]
 	if p == nil || p.Statement().StartedAtMS != e.StartedAtMS || !p.Limits(now) {
@@ -119,21 +125,22 @@
 	}
 }
 
-// PaceWait returns the shortest time after which an endpoint that states a rate takes a
-// request from this host; 0 if none states one.
-func (t *Tracker) PaceWait(now time.Time, endpoints []*endpoint.Endpoint, exclude map[string]bool) time.Duration {
+// SendWait returns the shortest time after which an endpoint that states a rate or a pause
+// takes a request from this host, and whether a pause decides it; 0 if none states any.
+func (t *Tracker) SendWait(now time.Time, endpoints []*endpoint.Endpoint, exclude map[string]bool) (shortest time.Duration, paused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	shortest := time.Duration(0)
 	for _, e := range endpoints {
 		if exclude[e.ID] {
 			continue
 		}
-		if wait, limited := t.paceWait(now, e); limited && (shortest == 0 || wait < shortest) {
+		wait, limited := t.sendWait(now, e)
+		if (limited || wait > 0) && (shortest == 0 || wait < shortest) {
 			shortest = max(wait, time.Millisecond)
+			paused = wait > 0 && wait == t.pauses[e.ID].Left(now, e.StartedAtMS)
 		}
 	}
-	return shortest
+	return shortest, paused
 }
 
 // rateCost is the cost of a request to an endpoint that gets as many as it states, if it
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -20,14 +20,19 @@
 	return tr, e, start.Add(pace.Window + time.Second)
 }
 
+func sendWait(tr *Tracker, at time.Time, e *endpoint.Endpoint) time.Duration {
+	wait, _ := tr.SendWait(at, []*endpoint.Endpoint{e}, nil)
+	return wait
+}
+
 // limits reports whether the engine limits the requests of this host.
 func limits(tr *Tracker, at time.Time, e *endpoint.Endpoint) bool {
-	return tr.PaceWait(at, []*endpoint.Endpoint{e}, nil) > 0
+	return sendWait(tr, at, e) > 0
 }
 
 // mustWait reports whether this host has to wait with its next request.
 func mustWait(tr *Tracker, at time.Time, e *endpoint.Endpoint) bool {
-	return tr.PaceWait(at, []*endpoint.Endpoint{e}, nil) > time.Millisecond
+	return sendWait(tr, at, e) > time.Millisecond
 }
 
 const limitedRequests = 30 // 1.42 x 5 x 4 + 5, less 1 for each of two hosts and 1
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -100,7 +100,7 @@
 		if job.Exclude[e.ID] || e.Stage == endpoint.StageNone {
 			continue
 		}
-		wait, limited := t.paceWait(now, e)
+		wait, limited := t.sendWait(now, e)
 		if wait > 0 {
 			continue
 		}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -56,7 +56,9 @@
 	stageChanges map[string]time.Time
 	// paced holds the endpoints that have stated a rate, by ID.
 	paced map[string]*pace.Pacer
-	fleet fleetView
+	// pauses holds the endpoints that want nothing from this host for a time, by ID.
+	pauses map[string]pace.Pause
+	fleet  fleetView
 }
 
 type peerLoad struct {
@@ -116,7 +118,7 @@
 func NewTracker(c Costs) *Tracker {
 	return &Tracker{
 		costs: c, engines: make(map[string]*engineState), peers: make(map[string]peerLoad), peerSum: make(map[string]Load),
-		stageChanges: make(map[string]time.Time), paced: make(map[string]*pace.Pacer), dispatches: updatelog.NewRelay[DispatchRecord](maxDispatches),
+		stageChanges: make(map[string]time.Time), paced: make(map[string]*pace.Pacer), pauses: make(map[string]pace.Pause), dispatches: updatelog.NewRelay[DispatchRecord](maxDispatches),
 		rates: map[endpoint.Stage]*rate{
 			endpoint.StagePrefill: {tokensPerMS: c.PrefillRate},
 			endpoint.StageDecode:  {tokensPerMS: c.DecodeRate},
