gateway: a caller that resumes a stream behind its last event gets its end

The ID that the caller states counts now like the one of the host, and the endpoint's own header is passed on, which is otherwise written with the first event.

The new test fails without the change (502); without the header the answer would be a success that does not bear the endpoint's signature, which it asks for, too.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,6 +31,9 @@
 	// MaxWait is the time that the caller waits for the response, as it stated;
 	// zero means no limit.
 	MaxWait time.Duration
+	// LastEventID is the ID of the last event that the caller received of the stream that it
+	// resumes; empty for none.
+	LastEventID string
 	// HasTokens reports whether the token counts are known.
 	HasTokens bool
 	// PromptTokens is the number of prompt tokens. MaxOutputTokens is the
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -78,3 +78,16 @@
 		})
 	}
 }
+
+// Guards against callers who resume a whole stream behind its last event and get an error.
+func TestStreamResumedBehindItsLastEventIsWhole(t *testing.T) {
+	for lastID, status := range map[string]int{"2": http.StatusOK, "": http.StatusBadGateway} {
+		is := is.New(t)
+		f := newFixture(t).configure()
+		f.send = func(int, context.Context, *Dispatch) (*Reply, error) { return newReply(http.StatusOK, ""), nil }
+		w := f.serve("/stream/x", "Prompt", "50", "Last-Event-Id", lastID)
+		is.Equal(w.Code, status)
+		is.Equal(len(f.sends), 1)
+		is.Equal(w.Header().Get("Seal") != "", status == http.StatusOK) // the endpoint's own answer
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -89,7 +89,7 @@
 type testIngress struct{}
 
 func (testIngress) ParseCall(r *http.Request) (*Call, error) {
-	call := &Call{ID: r.Header.Get("Id"), Host: r.Host, Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Key: r.Header.Get("Key")}
+	call := &Call{ID: r.Header.Get("Id"), Host: r.Host, Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last-Event-Id")}
 	if n, err := strconv.Atoi(r.Header.Get("Prompt")); err == nil {
 		call.HasTokens, call.PromptTokens, call.MaxOutputTokens = true, n, 10
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -443,7 +443,7 @@
 func (w *eventWriter) relay(reply *Reply, answer *bodybudget.Reservation, flight *placement.Flight) error {
 	events := framing.NewEvents(maxEventBytes, answer.Grow)
 	ending := framing.Ending{Framing: reply.Framing}
-	resumed := w.lastID != ""
+	resumed := w.lastID != "" || w.req.call.LastEventID != ""
 	relayed := 0
 	for ending.Err == nil {
 		var n int
@@ -482,6 +482,9 @@
 	if err := ending.Stream(events, resumed); err != nil {
 		return w.req.truncated(reply, partEvent, err)
 	}
+	if !w.headerWritten {
+		return w.write(reply, events) // the caller had received all events
+	}
 	return nil
 }
 
