placement, peer, host: other hosts hear of an endpoint that states that it leaves

The host that was told passes it on with the age of the statement, at once, in the exchange that carries stated rates. Hosts that pass it on do not prolong it, and it counts for one incarnation only.

Older hosts ignore the new field.

--- a/internal/endpoint/statement.go
+++ b/internal/endpoint/statement.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// Departure is an incarnation of an endpoint that stated that it leaves.
+type Departure struct {
+	StartedAtMS int64
+	// At is when the response came that stated it.
+	At time.Time
+}
+
 // Statement is what a response states about its endpoint.
 type Statement struct {
 	// PerSecond is the rate of requests that the endpoint takes from all hosts together;
--- a/internal/gateway/stated_test.go
+++ b/internal/gateway/stated_test.go
@@ -131,10 +131,10 @@
 				if paused {
 					f.gateway.opts.Tracker.PauseStated(time.Now(), prefill, time.Second)
 				}
-				f.holdSegment(0xdead)
+				f.holdSegment(0xbeef)
 				return Prefilled{CacheSource: "cache"}, nil
 			}
-			is.Equal(f.serve("/stream/x", "Prompt", "5000", "Segments", "a dead b").Code, http.StatusServiceUnavailable)
+			is.Equal(f.serve("/stream/x", "Prompt", "5000", "Segments", "a beef b").Code, http.StatusServiceUnavailable)
 			synctest.Wait()
 			is.Equal(released.count == 0, paused)
 		})
--- a/internal/host/statements.go
+++ b/internal/host/statements.go
@@ -38,5 +38,7 @@
 	}
 	h.statements.Add("leaving", 1)
 	h.opts.Log.Info("endpoint stated that it leaves", observe.FieldEndpoint, e.ID, "service", e.Service, "started_at_ms", e.StartedAtMS)
+	h.tracker.Departed(time.Now(), e)
 	h.endpointsChanged(change)
+	h.group.TriggerExchange()
 }
--- a/internal/host/statements_test.go
+++ b/internal/host/statements_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/acacialink/acacialink/internal/endpoint"
 )
 
 // Guards against requests to an endpoint that has said in an answer that it leaves: its entry
@@ -55,3 +57,26 @@
 		is.True(s.endpoints.Get("a3") != nil) // a later incarnation has said nothing
 	})
 }
+
+// Guards against hosts that go on sending to an endpoint until each of them was told that it leaves.
+func TestOtherHostsHearOfEndpointThatStatesThatItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newEngineFleet(t, 5, 3, 0, 4)
+		defer f.end()
+		time.Sleep(settlingTime)
+		for n := range 3 {
+			time.Sleep(time.Duration(73*n) * time.Millisecond) // at any time of the exchanges
+			engine := f.engines[n].entry
+			f.live()[n].endpointStated(engine, endpoint.Statement{Leaving: true})
+			time.Sleep(40 * time.Millisecond) // half of the time between regular exchanges
+			for _, x := range f.live() {
+				is.Equal(x.tracker.Departures(time.Now())[engine.ID].StartedAtMS, engine.StartedAtMS)
+			}
+		}
+		time.Sleep(10 * time.Second) // hosts that tell each other again do not prolong it
+		for _, x := range f.live() {
+			is.Equal(len(x.tracker.Departures(time.Now())), 0)
+		}
+	})
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/pace"
 	"github.com/acacialink/acacialink/internal/peer/peerwire"
 	"github.com/acacialink/acacialink/internal/placement"
@@ -108,6 +109,9 @@
 	for engine, r := range s.Rates {
 		w.Rates = append(w.Rates, &peerwire.StatedRate{Endpoint: t.index(engine), StartedAtMs: r.StartedAtMS, PerSecond: r.PerSecond, AgeMs: time.Since(r.At).Milliseconds()})
 	}
+	for id, d := range s.Departures {
+		w.Departures = append(w.Departures, &peerwire.Departure{Endpoint: t.index(id), StartedAtMs: d.StartedAtMS, AgeMs: time.Since(d.At).Milliseconds()})
+	}
 	for _, d := range s.Dispatches.Records {
 		w.Dispatches = append(w.Dispatches, &peerwire.Dispatch{
 			Engine: t.index(d.Engine), Origin: t.index(d.Origin), Segments: d.Segments,
@@ -167,6 +171,20 @@
 	return out
 }
 
+// departures returns the endpoints that leave, by ID.
+func (l nameList) departures(values []*peerwire.Departure) map[string]endpoint.Departure {
+	if len(values) == 0 {
+		return nil
+	}
+	now, out := time.Now(), make(map[string]endpoint.Departure, len(values))
+	for _, v := range values {
+		if id, ok := l.name(v.GetEndpoint()); ok {
+			out[id] = endpoint.Departure{StartedAtMS: v.GetStartedAtMs(), At: now.Add(-ageOf(v.GetAgeMs()))}
+		}
+	}
+	return out
+}
+
 // loadFields is the number of elements of a load in the wire form.
 const loadFields = 4
 
@@ -206,6 +224,7 @@
 		}
 	}
 	s.Rates = names.rates(w.GetRates())
+	s.Departures = names.departures(w.GetDepartures())
 	for _, d := range w.GetDispatches() {
 		engine, _ := names.name(d.GetEngine())
 		origin, _ := names.name(d.GetOrigin())
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/placement"
 )
 
@@ -35,6 +36,19 @@
 	is.Equal(&got, fullSnapshot())
 }
 
+func TestDeparturesSurviveTheWireWithTheirAge(t *testing.T) {
+	is := is.New(t)
+	at := time.Now().Add(-2 * time.Second)
+	buf, err := EncodeSnapshot(&Snapshot{Departures: map[string]endpoint.Departure{"e": {StartedAtMS: 7, At: at}}})
+	is.NoErr(err)
+	var got Snapshot
+	is.NoErr(DecodeSnapshot(buf, &got))
+	is.Equal(len(got.Departures), 1)
+	is.Equal(got.Departures["e"].StartedAtMS, int64(7))
+	is.True(!got.Departures["e"].At.Before(at.Truncate(time.Millisecond)))
+	is.True(got.Departures["e"].At.Before(time.Now().Add(-2*time.Second + time.Millisecond)))
+}
+
 func TestReservationsSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	request := &ReserveRequest{Host: "h", Reservations: []Reservation{{Workspace: "w", Tokens: 5, RefundAgeMillis: -1}, {Workspace: "v", RefundAgeMillis: 12}}}
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/acacialink/acacialink/internal/backing"
+	"github.com/acacialink/acacialink/internal/endpoint"
 	"github.com/acacialink/acacialink/internal/pace"
 	"github.com/acacialink/acacialink/internal/placement"
 	"github.com/acacialink/acacialink/internal/suspect"
@@ -44,6 +45,8 @@
 	StageChanges map[string]time.Duration
 	// Rates is what endpoints stated about the rates that they take, by endpoint ID.
 	Rates map[string]pace.Statement
+	// Departures are the endpoints that stated that they leave, by ID.
+	Departures map[string]endpoint.Departure
 	// WindowTokens is the part of ConsumedTokens in the current window, in a member's
 	// report.
 	WindowTokens map[string]int64
--- a/internal/placement/least_loaded.go
+++ b/internal/placement/least_loaded.go
@@ -38,7 +38,7 @@
 func (t *Tracker) callScore(now time.Time, e *endpoint.Endpoint) float64 {
 	state := t.engineState(e)
 	score := (float64(t.load(now, e.ID).Streams) + 1) / float64(max(1, e.Slots)) * (1 + failureWeight*state.failureRatioAt(now))
-	if now.Before(state.avoidUntil) {
+	if now.Before(state.avoidUntil) || t.departs(now, e) {
 		score += avoidScore
 	}
 	return score
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -58,7 +58,9 @@
 	paced map[string]*pace.Pacer
 	// pauses holds the endpoints that want nothing from this host for a time, by ID.
 	pauses map[string]pace.Pause
-	fleet  fleetView
+	// departures holds the endpoints that are said to leave, by ID.
+	departures map[string]endpoint.Departure
+	fleet      fleetView
 }
 
 type peerLoad struct {
@@ -118,7 +120,7 @@
 func NewTracker(c Costs) *Tracker {
 	return &Tracker{
 		costs: c, engines: make(map[string]*engineState), peers: make(map[string]peerLoad), peerSum: make(map[string]Load),
-		stageChanges: make(map[string]time.Time), paced: make(map[string]*pace.Pacer), pauses: make(map[string]pace.Pause), dispatches: updatelog.NewRelay[DispatchRecord](maxDispatches),
+		stageChanges: make(map[string]time.Time), paced: make(map[string]*pace.Pacer), pauses: make(map[string]pace.Pause), departures: make(map[string]endpoint.Departure), dispatches: updatelog.NewRelay[DispatchRecord](maxDispatches),
 		rates: map[endpoint.Stage]*rate{
 			endpoint.StagePrefill: {tokensPerMS: c.PrefillRate},
 			endpoint.StageDecode:  {tokensPerMS: c.DecodeRate},
