gateway, outbound, platform: an endpoint is told the time left when its request is written

An endpoint was told the time that was left when the send was planned.

A dispatch carries the moment at which the caller's time is over, and the header is set once the connection is open, in one place for runs, prefills, decode halves and resumptions.

TestRequestIsStampedOnceItsConnectionIsOpen opens its connection late; without the stamp the header is missing. TestDispatchCarriesRemainingTime checks the same bounds as before at the moment of each send.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,8 +50,8 @@
 type Dispatch struct {
 	Endpoint  *endpoint.Endpoint
 	Workspace string
-	// Timeout is the time that the endpoint has to answer.
-	Timeout time.Duration
+	// Expires is when the caller's time is over. The endpoint is told what is left of it.
+	Expires time.Time
 	// Priority is the position in the engine's queue, 0 first.
 	Priority int
 	// Engine reports whether the endpoint is a model engine.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -190,7 +190,9 @@
 func TestDispatchCarriesRemainingTime(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t).configure()
-	f.send = func(n int, _ context.Context, _ *Dispatch) (*Reply, error) {
+	var left []time.Duration
+	f.send = func(n int, _ context.Context, d *Dispatch) (*Reply, error) {
+		left = append(left, time.Until(d.Expires))
 		time.Sleep(30 * time.Millisecond)
 		if n%2 == 1 {
 			return rejectedReply(), nil
@@ -198,10 +200,10 @@
 		return newReply(http.StatusOK, "ok"), nil
 	}
 	f.serve("/once/x", "Patience", "500")
-	is.True(f.sends[0].Timeout <= 500*time.Millisecond)
-	is.True(f.sends[1].Timeout <= f.sends[0].Timeout-30*time.Millisecond)
+	is.True(left[0] <= 500*time.Millisecond)
+	is.True(left[1] <= left[0]-30*time.Millisecond)
 	f.serve("/once/x", "Patience", "60000")
-	is.True(f.sends[2].Timeout <= 2*time.Second) // the route's timeout
+	is.True(left[2] <= 2*time.Second) // the route's timeout
 }
 
 // When the caller disconnects, the request at the endpoint is canceled
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,7 +38,7 @@
 // newDispatch returns the parameters of a send to the endpoint. Its Answer must be released.
 func (req *request) newDispatch(target *endpoint.Endpoint) *Dispatch {
 	return &Dispatch{
-		Endpoint: target, Workspace: req.workspaceName(), Timeout: req.remaining(),
+		Endpoint: target, Workspace: req.workspaceName(), Expires: req.deadline,
 		Priority: req.rank(), Engine: req.service.Engine != nil,
 		NonRepeatable:  req.route.Kind != catalog.Repeatable,
 		MaxConnections: req.connectionLimit(),
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -324,7 +324,7 @@
 	f := newFixture(t).configure()
 	f.delay = 700 * time.Millisecond
 	f.send = func(_ int, _ context.Context, d *Dispatch) (*Reply, error) {
-		is.True(d.Timeout <= 1300*time.Millisecond) // of the route's 2 s
+		is.True(time.Until(d.Expires) <= 1300*time.Millisecond) // of the route's 2 s
 		return newReply(http.StatusOK, "x"), nil
 	}
 	is.Equal(f.serve("/read/x").Code, http.StatusOK)
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -29,7 +29,10 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Stamp sets the headers that depend on when the request is written: opening a
+	// connection takes time. nil for none.
+	Stamp func(now time.Time, h http.Header)
+	Body  []byte
 	// HasBody reports whether the request has a body, which may be empty.
 	HasBody bool
 	// NonRepeatable reports whether the request cannot be retried. It is then
@@ -133,6 +136,9 @@
 		return nil, &Failure{Cause: err}
 	}
 	c.lastID = r.ID
+	if r.Stamp != nil {
+		r.Stamp(time.Now(), r.Header)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	write := startWrite(c, r)
 	response, err := p.readHeader(address, c, r)
--- a/internal/outbound/exchange_test.go
+++ b/internal/outbound/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -294,3 +295,33 @@
 	is.NoErr(err)
 	is.NoErr(again.Close())
 }
+
+// Guards against endpoints that are told a time from before their connection was open.
+func TestRequestIsStampedOnceItsConnectionIsOpen(t *testing.T) {
+	is := is.New(t)
+	told := make(chan string, 1)
+	e := startEndpoint(t, func(e *fakeEndpoint, _ int64, c net.Conn, r *bufio.Reader) {
+		if req, ok := e.readRequest(r); ok {
+			told <- req.Header.Get("Left")
+			writeText(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	var opened time.Time
+	pool := NewPool()
+	control := pool.dialer.Control
+	pool.dialer.Control = func(network, address string, c syscall.RawConn) error {
+		time.Sleep(50 * time.Millisecond)
+		opened = time.Now()
+		return control(network, address, c)
+	}
+	r := newRequest("1")
+	r.Stamp = func(now time.Time, h http.Header) {
+		is.True(now.After(opened))
+		h.Set("Left", "stamped")
+	}
+	resp, err := pool.Send(context.Background(), e.address, r)
+	is.NoErr(err)
+	_, err = readBody(t, resp)
+	is.NoErr(err)
+	is.Equal(<-told, "stamped")
+}
