--- /dev/null
+++ b/review/standin2/replica.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// replica is a model replica. Its streams have no length and end with their connection. It
+// reports that it drains at SIGUSR1, and leaves after its last answer at SIGTERM.
+type replica struct {
+	id, store, service, stage string
+	pieces                    int
+	gap                       time.Duration
+	addr                      string
+	born                      int64
+
+	mu       sync.Mutex
+	draining bool
+	sequence int
+	running  sync.WaitGroup
+}
+
+func runReplica(args []string) error {
+	r := &replica{born: time.Now().UnixMilli()}
+	flags := flag.NewFlagSet("replica", flag.ExitOnError)
+	flags.StringVar(&r.id, "id", "i-1", "the replica's id")
+	flags.StringVar(&r.store, "store", "", "the store's address")
+	flags.StringVar(&r.service, "service", "llm", "the service")
+	flags.StringVar(&r.stage, "stage", "decode", "the stage")
+	flags.IntVar(&r.pieces, "pieces", 40, "events of a stream")
+	flags.DurationVar(&r.gap, "gap", 100*time.Millisecond, "time between events")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	l, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	r.addr = l.Addr().String()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGTERM)
+	go r.beat()
+	go r.serve(l)
+	for s := range signals {
+		r.mu.Lock()
+		r.draining = true
+		r.mu.Unlock()
+		r.report()
+		say("draining", "")
+		if s == syscall.SIGTERM {
+			r.running.Wait()
+			return nil
+		}
+	}
+	return nil
+}
+
+// say writes a line to standard output, which the script records.
+func say(what, id string) { fmt.Fprintln(os.Stdout, what, id) }
+
+func (r *replica) beat() {
+	for ; ; time.Sleep(1200 * time.Millisecond) {
+		r.report()
+	}
+}
+
+// report writes the replica's entry to the store.
+func (r *replica) report() {
+	r.mu.Lock()
+	r.sequence++
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
+	entry, _ := json.Marshal(map[string]any{
+		"service": r.service, "address": r.addr, "zone": "a", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
+		"stage": r.stage, "sequence": r.sequence, "born": r.born, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
+	})
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+r.store+"/replica/"+r.id, bytes.NewReader(entry))
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(call); err == nil {
+		resp.Body.Close()
+	}
+}
+
+func (r *replica) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.handle(c)
+	}
+}
+
+// handle answers the requests of a connection.
+func (r *replica) handle(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		r.running.Add(1)
+		again := r.answer(c, request, body)
+		r.running.Done()
+		if !again {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection carries another one.
+func (r *replica) answer(c net.Conn, request *http.Request, body []byte) (again bool) {
+	id := request.Header.Get("X-Attempt-Id")
+	head := "X-Attempt-Id: " + id + "\r\n"
+	switch {
+	case request.Header.Get("X-Expect-Replica") != "" && request.Header.Get("X-Expect-Replica") != r.id:
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", head, r.id)
+		return true
+	case request.URL.Path == "/api/report":
+		text := fmt.Sprintf(`{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"running":0,"kv_used":0,"kv_total":500000,"kv_handles":0}`, r.stage)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return true
+	case id == "":
+		fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	say("runs", id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", head, r.id, len(body))
+	for i := 1; i <= r.pieces; i++ {
+		time.Sleep(r.gap)
+		if _, err := fmt.Fprintf(c, "id: %d\ndata: piece %d of %d\n\n", i, i, r.pieces); err != nil {
+			say("caller-left", id)
+			return false
+		}
+	}
+	say("whole", id)
+	return false
+}
