--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,7 +16,8 @@
 
 // scripts holds the cases, by name. Each writes what it saw to the record.
 var scripts = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"spot": runSpot,
+	"spot":   runSpot,
+	"frozen": runFrozen,
 }
 
 func main() {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -40,11 +40,12 @@
 	flags.StringVar(&r.service, "service", "llm", "the service")
 	flags.StringVar(&r.stage, "stage", "decode", "the stage")
 	flags.IntVar(&r.pieces, "pieces", 40, "events of a stream")
+	address := flags.String("listen", "127.0.0.1:0", "the address to listen on")
 	flags.DurationVar(&r.gap, "gap", 100*time.Millisecond, "time between events")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	l, err := listenLoopback()
+	l, err := listen(*address)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -65,9 +65,11 @@
 	return s, nil
 }
 
-func listenLoopback() (net.Listener, error) {
+func listenLoopback() (net.Listener, error) { return listen("127.0.0.1:0") }
+
+func listen(address string) (net.Listener, error) {
 	var config net.ListenConfig
-	return config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	return config.Listen(context.Background(), "tcp4", address)
 }
 
 // write changes a key. The caller holds mu.
