--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -24,10 +24,12 @@
 	store     *store
 	hosts     []*entryHost
 	processes []*process
+	asked     int
 }
 
 type entryHost struct {
 	name, callers, ready string
+	gate                 *gate
 	process              *process
 }
 
@@ -150,8 +152,11 @@
 			l.Close()
 		}
 		h.callers, h.ready = addresses[0], addresses[1]
+		if h.gate, err = d.store.newGate(); err != nil {
+			return err
+		}
 		path := filepath.Join(d.folder, h.name+".toml")
-		text := fmt.Sprintf(settingsFormat, h.name, addresses[0], addresses[1], addresses[2], d.store.addr, d.store.addr)
+		text := fmt.Sprintf(settingsFormat, h.name, addresses[0], addresses[1], addresses[2], h.gate.addr, d.store.addr)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,7 @@
 var scripts = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"spot":   runSpot,
 	"frozen": runFrozen,
+	"stale":  runStale,
 }
 
 func main() {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -23,6 +23,7 @@
 	id, store, service, stage string
 	pieces                    int
 	gap                       time.Duration
+	plain                     bool
 	addr                      string
 	born                      int64
 
@@ -42,6 +43,7 @@
 	flags.IntVar(&r.pieces, "pieces", 40, "events of a stream")
 	address := flags.String("listen", "127.0.0.1:0", "the address to listen on")
 	flags.DurationVar(&r.gap, "gap", 100*time.Millisecond, "time between events")
+	flags.BoolVar(&r.plain, "plain", false, "answer with the service's name in place of a stream")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -85,10 +87,14 @@
 	if r.draining {
 		state = "draining"
 	}
-	entry, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": r.service, "address": r.addr, "zone": "a", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
-		"stage": r.stage, "sequence": r.sequence, "born": r.born, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
-	})
+		"sequence": r.sequence, "born": r.born,
+	}
+	if r.stage != "" {
+		fields["stage"], fields["models"] = r.stage, []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	entry, _ := json.Marshal(fields)
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -150,6 +156,11 @@
 		return true
 	}
 	say("runs", id)
+	if r.plain {
+		text := "served by " + r.service
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Length: %d\r\n\r\n%s", head, r.id, len(body), len(text), text)
+		return true
+	}
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", head, r.id, len(body))
 	for i := 1; i <= r.pieces; i++ {
 		time.Sleep(r.gap)
