--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -211,6 +212,84 @@
 	return d.start(nil, line, self, append([]string{"replica", "-store", d.store.addr}, args...)...)
 }
 
+// The engines of the site: nine replicas, of which the system has six read prompts.
+const (
+	engines       = 9
+	decodeEngines = 3
+)
+
+// startEngines starts the model replicas and returns the first one that makes tokens.
+func (d *deployment) startEngines(pieces int, gap time.Duration) (victim *process, arguments []string, err error) {
+	for i := range engines {
+		l, err := listenLoopback()
+		if err != nil {
+			return nil, nil, err
+		}
+		address := l.Addr().String()
+		l.Close()
+		id, stage := fmt.Sprintf("i-%d", i+1), "prefill"
+		if i < decodeEngines {
+			stage = "decode"
+		}
+		args := []string{"-id", id, "-listen", address, "-stage", stage, "-pieces", fmt.Sprint(pieces), "-gap", gap.String()}
+		p, err := d.startReplica(func(line string) { d.note("%s: %s", id, line) }, args...)
+		if err != nil {
+			return nil, nil, err
+		}
+		if i == 0 {
+			victim, arguments = p, args
+		}
+	}
+	for i := range engines {
+		if !d.awaitKey(fmt.Sprintf("servers/i-%d", i+1)) {
+			return nil, nil, errors.New("a replica is not registered")
+		}
+	}
+	return victim, arguments, nil
+}
+
+// sendStreams sends streams to the hosts in turn, one each pause, and returns a function that
+// waits for their answers.
+func (d *deployment) sendStreams(hosts []*entryHost, count, pieces int, pause time.Duration) (wait func() []*answer) {
+	answers := make([]*answer, count)
+	var streams sync.WaitGroup
+	for i := range answers {
+		h, id := hosts[i%len(hosts)], fmt.Sprintf("attempt-%d", i+1)
+		streams.Go(func() {
+			d.note("client: sends %s to %s", id, h.name)
+			headers := fmt.Sprintf("X-Model: m\r\nX-Token-Count: 200,60\r\nX-Prefix-Hash: 5c1e07a2:100,%x:100\r\n", 0x1000+i)
+			a := send(h, "POST", "/chat/1", id, headers, "prompt", 8*time.Second)
+			answers[i] = a
+			d.note("client: %s got %d with seal %q, %d events of %d, ended as whole: %t, error: %v", id, a.status, a.seal, a.events(), pieces, a.whole, a.err)
+		})
+		time.Sleep(pause)
+	}
+	return func() []*answer {
+		streams.Wait()
+		return answers
+	}
+}
+
+// judgeStreams reports whether a stream ended as complete before its last piece.
+func (d *deployment) judgeStreams(answers []*answer, pieces int) (broken bool, err error) {
+	served := 0
+	for _, a := range answers {
+		if a.status != 200 {
+			continue
+		}
+		served++
+		if a.whole && a.events() < pieces {
+			d.note("MIXED, ORDER: %s ended as complete after %d of %d events; the last is %q", a.id, a.events(), pieces, lastLine(a.body))
+			broken = true
+		}
+	}
+	d.note("%d of %d streams were answered with 200", served, len(answers))
+	if served < len(answers)/2 {
+		return false, errors.New("less than half of the streams were answered")
+	}
+	return broken, nil
+}
+
 // awaitKey waits until a key is in the store.
 func (d *deployment) awaitKey(key string) bool {
 	for range 100 {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -17,11 +17,12 @@
 	"time"
 )
 
-// replica is a model replica. Its streams have no length and end with their connection. It
-// reports that it drains at SIGUSR1, and leaves after its last answer at SIGTERM.
+// replica is a replica. Each unframedEach-th of its streams has no length and ends with its
+// connection; the others come in chunks. It reports that it drains at SIGUSR1, and leaves after
+// its last answer at SIGTERM.
 type replica struct {
 	id, store, service, stage string
-	pieces                    int
+	pieces, unframedEach      int
 	gap                       time.Duration
 	plain                     bool
 	addr                      string
@@ -30,6 +31,8 @@
 	mu       sync.Mutex
 	draining bool
 	sequence int
+	orders   int
+	streams  int
 	running  sync.WaitGroup
 }
 
@@ -42,6 +45,7 @@
 	flags.StringVar(&r.stage, "stage", "decode", "the stage")
 	flags.IntVar(&r.pieces, "pieces", 40, "events of a stream")
 	address := flags.String("listen", "127.0.0.1:0", "the address to listen on")
+	flags.IntVar(&r.unframedEach, "unframed-each", 20, "which streams have no length")
 	flags.DurationVar(&r.gap, "gap", 100*time.Millisecond, "time between events")
 	flags.BoolVar(&r.plain, "plain", false, "answer with the service's name in place of a stream")
 	if err := flags.Parse(args); err != nil {
@@ -148,27 +152,91 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", head, r.id)
 		return true
 	case request.URL.Path == "/api/report":
-		text := fmt.Sprintf(`{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"running":0,"kv_used":0,"kv_total":500000,"kv_handles":0}`, r.stage)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		r.mu.Lock()
+		text := fmt.Sprintf(`{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":%d,"queued":0,"running":0,"kv_used":0,"kv_total":500000,"kv_handles":0}`, r.stage, r.orders)
+		r.mu.Unlock()
+		writeJSON(c, "", text)
+		return true
+	case request.URL.Path == "/api/order":
+		r.order(c, body)
+		return true
+	case request.Method == http.MethodDelete:
+		writeJSON(c, "", "{}")
 		return true
 	case id == "":
 		fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
-	}
-	say("runs", id)
-	if r.plain {
+	case r.plain:
+		say("runs", id)
 		text := "served by " + r.service
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Length: %d\r\n\r\n%s", head, r.id, len(body), len(text), text)
 		return true
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", head, r.id, len(body))
+	r.mu.Lock()
+	stage := r.stage
+	r.mu.Unlock()
+	prefill := request.Header.Get("X-Stage") == "prefill"
+	if prefill != (stage == "prefill") {
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", head)
+		return true
+	}
+	if prefill {
+		writeJSON(c, head, fmt.Sprintf(`{"kv_handle":"%s-%x","tokens":200,"version":1}`, id, r.born))
+		return true
+	}
+	return r.stream(c, id, head, len(body))
+}
+
+// order carries out an order to change the stage.
+func (r *replica) order(c net.Conn, body []byte) {
+	var in struct {
+		Stage string `json:"stage"`
+	}
+	if json.Unmarshal(body, &in) != nil || in.Stage == "" {
+		fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	r.mu.Lock()
+	r.stage = in.Stage
+	r.orders++
+	r.mu.Unlock()
+	r.report()
+	fmt.Fprintf(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+}
+
+func writeJSON(c net.Conn, head, text string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(text), text)
+}
+
+// stream answers with events and reports whether the connection carries another request.
+func (r *replica) stream(c net.Conn, id, head string, size int) (again bool) {
+	r.mu.Lock()
+	r.streams++
+	unframed := r.streams%r.unframedEach == unframedAt
+	r.mu.Unlock()
+	framing, format, end := "Transfer-Encoding: chunked\r\n", "%x\r\n%s\r\n", "0\r\n\r\n"
+	if unframed {
+		framing, end = "Connection: close\r\n", ""
+		say("runs without length", id)
+	} else {
+		say("runs", id)
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Replica-Seal: %s.%d\r\nContent-Type: text/event-stream\r\n%s\r\n", head, r.id, size, framing)
 	for i := 1; i <= r.pieces; i++ {
 		time.Sleep(r.gap)
-		if _, err := fmt.Fprintf(c, "id: %d\ndata: piece %d of %d\n\n", i, i, r.pieces); err != nil {
+		piece := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", i, i, r.pieces)
+		if !unframed {
+			piece = fmt.Sprintf(format, len(piece), piece)
+		}
+		if _, err := io.WriteString(c, piece); err != nil {
 			say("caller-left", id)
 			return false
 		}
 	}
+	_, _ = io.WriteString(c, end)
 	say("whole", id)
-	return false
+	return !unframed
 }
+
+// unframedAt is the first stream of each unframedEach that has no length.
+const unframedAt = 7
--- a/review/standin2/spot.go
+++ b/review/standin2/spot.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"errors"
-	"fmt"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -22,8 +19,8 @@
 	// spotNotice is the time from the notice of a replica that is taken away to its end.
 	spotNotice = 2 * time.Second
 	// spotStreams streams begin before the notice, one each spotPause.
-	spotStreams = 15
-	spotPause   = 100 * time.Millisecond
+	spotStreams = 90
+	spotPause   = 20 * time.Millisecond
 )
 
 // runSpot takes a model replica away that has reported that it drains: it is gone two
@@ -33,50 +30,21 @@
 	if err := d.startHosts(streamConfig, 3); err != nil {
 		return false, err
 	}
-	said := func(line string) { d.note("replica: %s", line) }
-	p, err := d.startReplica(said, "-id", "i-1", "-pieces", fmt.Sprint(spotPieces), "-gap", spotGap.String())
+	victim, _, err := d.startEngines(spotPieces, spotGap)
 	if err != nil {
 		return false, err
 	}
-	if !d.awaitKey("servers/i-1") {
-		return false, errors.New("the replica is not registered")
-	}
-	time.Sleep(3 * time.Second) // contact_ms
-	answers := make([]*answer, spotStreams)
-	var streams sync.WaitGroup
-	for i := range answers {
-		streams.Go(func() {
-			id := fmt.Sprintf("attempt-%d", i+1)
-			d.note("client: sends %s to %s", id, d.hosts[i%len(d.hosts)].name)
-			answers[i] = send(d.hosts[i%len(d.hosts)], "POST", "/chat/1", id, "X-Model: m\r\nX-Token-Count: 200,60\r\nX-Prefix-Hash: 5c1e07a2:100,"+fmt.Sprintf("%x", 1000+i)+":100\r\n", "prompt", 8*time.Second)
-			a := answers[i]
-			d.note("client: %s got %d with seal %q, %d events of %d, ended as whole: %t, error: %v", id, a.status, a.seal, a.events(), spotPieces, a.whole, a.err)
-		})
-		time.Sleep(spotPause)
-	}
+	time.Sleep(contact)
+	wait := d.sendStreams(d.hosts, spotStreams, spotPieces, spotPause)
 	if trouble {
-		p.signal(syscall.SIGUSR1)
+		victim.signal(syscall.SIGUSR1)
 		time.Sleep(spotNotice)
-		d.note("the replica is taken away (SIGKILL)")
-		p.signal(syscall.SIGKILL)
+		d.note("i-1 is taken away (SIGKILL)")
+		victim.signal(syscall.SIGKILL)
 	} else {
-		p.signal(syscall.SIGTERM)
-	}
-	streams.Wait()
-	served := 0
-	for _, a := range answers {
-		if a.status == 200 {
-			served++
-		}
-		if a.status == 200 && a.whole && a.events() < spotPieces {
-			d.note("MIXED, ORDER: %s ended as complete after %d of %d events; the last is %q", a.id, a.events(), spotPieces, lastLine(a.body))
-			broken = true
-		}
-	}
-	if served < spotStreams/2 {
-		return false, fmt.Errorf("only %d of %d streams were served", served, spotStreams)
+		victim.signal(syscall.SIGTERM)
 	}
-	return broken, nil
+	return d.judgeStreams(wait(), spotPieces)
 }
 
 func lastLine(body []byte) string {
--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -68,7 +68,7 @@
 		if trouble {
 			for range staleReads {
 				select {
-				case healed = <-h.gate.configReads:
+				case <-h.gate.configReads:
 					d.note("cycle %d: %s reads the configuration and gets no answer", cycle, h.name)
 				case <-time.After(turnedAwayMost):
 					return broken, errors.New("the host does not read the configuration")
