--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -41,7 +41,7 @@
 	}
 	for _, service := range services {
 		id := "i-" + service
-		if _, err := d.startReplica(func(string) {}, "-id", id, "-service", service, "-stage", "", "-plain"); err != nil {
+		if _, err := d.startReplica(func(line string) { d.note("%s: %s", id, line) }, "-id", id, "-service", service, "-stage", "", "-plain"); err != nil {
 			return false, err
 		}
 		if !d.awaitKey("servers/" + id) {
@@ -112,7 +112,9 @@
 	d.asked++
 	id := fmt.Sprintf("ask-%d", d.asked)
 	d.mu.Unlock()
-	return send(h, "GET", "/status/1", id, "", "", 1500*time.Millisecond)
+	a := send(h, "GET", "/status/1", id, "", "", 1500*time.Millisecond)
+	d.note("client: sent %s to %s at %.3f s, got %d from %q, error: %v", id, h.name, a.sent.Sub(d.began).Seconds(), a.status, serviceOf(a), a.err)
+	return a
 }
 
 // serviceOf returns the service whose replica answered.
