--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -82,7 +82,10 @@
 
 // end ends all processes.
 func (d *deployment) end() {
-	for _, p := range d.processes {
+	d.mu.Lock()
+	processes := d.processes
+	d.mu.Unlock()
+	for _, p := range processes {
 		p.signal(syscall.SIGKILL)
 		<-p.ended
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // The exit codes of a script.
@@ -43,6 +46,9 @@
 	os.Exit(exitNotRun)
 }
 
+// longestPlay is when a script that has not ended is given up.
+const longestPlay = 118 * time.Second
+
 // play runs a script in a deployment of its own and returns the exit code.
 func play(script func(*deployment, bool) (bool, error), program, recordPath string, trouble bool) int {
 	record, err := os.Create(recordPath)
@@ -57,6 +63,17 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	d := newDeployment(program, folder, record)
 	defer d.end()
+	go func() {
+		interrupted := make(chan os.Signal, 1)
+		signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+		select {
+		case <-interrupted:
+		case <-time.After(longestPlay):
+		}
+		d.end()
+		_ = os.RemoveAll(folder)
+		os.Exit(exitNotRun)
+	}()
 	broken, err := script(d, trouble)
 	switch {
 	case err != nil:
