--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,7 @@
 	hosts     []*entryHost
 	processes []*process
 	asked     int
+	ending    bool
 }
 
 type entryHost struct {
@@ -59,13 +61,19 @@
 	if err != nil {
 		return nil, err
 	}
+	p := &process{cmd: cmd, ended: make(chan struct{})}
+	d.mu.Lock()
+	if d.ending {
+		d.mu.Unlock()
+		return nil, errors.New("the script ends")
+	}
 	if err := cmd.Start(); err != nil {
+		d.mu.Unlock()
 		return nil, err
 	}
-	p := &process{cmd: cmd, ended: make(chan struct{})}
-	d.mu.Lock()
 	d.processes = append(d.processes, p)
 	d.mu.Unlock()
+	d.note("script: started process %d: %s", cmd.Process.Pid, strings.Join(append([]string{filepath.Base(program)}, args...), " "))
 	go func() {
 		lines := bufio.NewScanner(out)
 		lines.Buffer(nil, 1<<20)
@@ -80,14 +88,16 @@
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// end ends all processes.
+// end ends all processes, by their ids; none is started after it.
 func (d *deployment) end() {
 	d.mu.Lock()
+	d.ending = true
 	processes := d.processes
 	d.mu.Unlock()
 	for _, p := range processes {
 		p.signal(syscall.SIGKILL)
 		<-p.ended
+		d.note("script: process %d has ended", p.cmd.Process.Pid)
 	}
 	if d.store != nil {
 		_ = d.store.close()
