--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -65,7 +67,12 @@
 	return s, nil
 }
 
-func listenLoopback() (net.Listener, error) { return listen("127.0.0.1:0") }
+// listenLoopback listens on a free port of a loopback address of its own: a port of an address
+// that others use may be taken between its release and the start of the process that gets it.
+func listenLoopback() (net.Listener, error) {
+	n := rand.Uint32()
+	return listen(fmt.Sprintf("127.%d.%d.%d:0", 1+n%250, n>>8%250, 1+n>>16%250))
+}
 
 func listen(address string) (net.Listener, error) {
 	var config net.ListenConfig
